--- /dev/null
+++ b/internal/engine/messages.go
@@ -0,0 +1,86 @@
+// Package engine is the HTTP client of language model engines and plain
+// services.
+package engine
+
+// LoadReport is the answer of GET /v1/load. Reports lag behind the engine.
+type LoadReport struct {
+	Engine string `json:"engine"`
+	// CapacityTokens and UsedTokens are KV memory; cached prefixes that can be
+	// evicted do not count as used.
+	CapacityTokens int `json:"capacity_tokens"`
+	UsedTokens     int `json:"used_tokens"`
+	// Running and Waiting count streams.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// PrefillTokensPerSecond and DecodeStepMillis are recent speeds.
+	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
+	DecodeStepMillis       float64 `json:"decode_step_ms"`
+	Models                 []Model `json:"models"`
+	Role                   string  `json:"role"`
+	// Fence is the highest fencing number the engine has accepted.
+	Fence uint64 `json:"fence"`
+	// AgeMillis is the age of the report when it was sent.
+	AgeMillis int64 `json:"age_ms"`
+}
+
+// Model is a loaded model.
+type Model struct {
+	Name     string   `json:"name"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters,omitempty"`
+}
+
+// Stream is an entry of GET /v1/streams.
+type Stream struct {
+	ID           string `json:"id"`
+	Attempt      int    `json:"attempt"`
+	Organisation string `json:"organisation"`
+	PromptTokens int    `json:"prompt_tokens"`
+	TokensHeld   int    `json:"tokens_held"`
+	Generated    int    `json:"generated"`
+	// Attached says that a reader is connected; DetachedMillis is the time
+	// since the last reader left.
+	Attached       bool   `json:"attached"`
+	DetachedMillis int64  `json:"detached_ms"`
+	Reservation    string `json:"reservation,omitempty"`
+}
+
+// StartRequest is the body of POST /v1/streams.
+type StartRequest struct {
+	ID      string `json:"id"`
+	Attempt int    `json:"attempt"`
+	// Organisation is an opaque cache scope.
+	Organisation    string   `json:"organisation"`
+	Model           string   `json:"model"`
+	Prompt          string   `json:"prompt"`
+	MaxTokens       int      `json:"max_tokens"`
+	Priority        int      `json:"priority"`
+	TimeLimitMillis int64    `json:"time_limit_ms"`
+	Reservation     string   `json:"reservation,omitempty"`
+	Members         []string `json:"members,omitempty"`
+}
+
+// Frame is one line of a stream.
+type Frame struct {
+	Attempt          int    `json:"attempt"`
+	Seq              int    `json:"seq"`
+	Text             string `json:"text,omitempty"`
+	Done             bool   `json:"done,omitempty"`
+	FinishReason     string `json:"finish_reason,omitempty"`
+	PromptTokens     int    `json:"prompt_tokens,omitempty"`
+	CompletionTokens int    `json:"completion_tokens,omitempty"`
+	CachedTokens     int    `json:"cached_tokens,omitempty"`
+	Error            string `json:"error,omitempty"`
+	Keepalive        bool   `json:"keepalive,omitempty"`
+}
+
+// CacheEvent is an entry of GET /v1/cache/events.
+type CacheEvent struct {
+	Seq uint64 `json:"seq"`
+	// Kind is "stored" or "evicted".
+	Kind         string `json:"kind"`
+	Organisation string `json:"organisation"`
+	// Prefix is the hash of the cached prefix.
+	Prefix string `json:"prefix"`
+	Tokens int    `json:"tokens"`
+}
--- /dev/null
+++ b/internal/plat/plat.go
@@ -0,0 +1,76 @@
+// Package plat is the client of the platform: its key-value service, its list
+// of hosts and its weight store.
+package plat
+
+import "context"
+
+// Revision numbers the writes of the key-value service. One counter covers
+// all keys. Zero stands for a key that does not exist.
+type Revision uint64
+
+// Entry is a key with its value and the revision of its last write.
+type Entry struct {
+	Key      string
+	Value    []byte
+	Revision Revision
+}
+
+// MaxValueSize is the largest value the key-value service accepts, in bytes.
+const MaxValueSize = 1 << 20
+
+// Store is the key-value service.
+//
+// Errors have the kinds NotFound, Conflict (the base revision does not match),
+// PlatformDown (the call had no effect) and ReplyLost (the call may have had
+// an effect: read back before deciding).
+type Store interface {
+	// Get returns the entry of a key, or NotFound.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List returns the entries whose keys start with prefix, in key order.
+	List(ctx context.Context, prefix string) ([]Entry, error)
+	// Put replaces the value if the key's revision is base; base 0 creates
+	// the key. It returns the new revision.
+	Put(ctx context.Context, key string, value []byte, base Revision) (Revision, error)
+	// Delete removes the key if its revision is base.
+	Delete(ctx context.Context, key string, base Revision) error
+	// Watch blocks until a key under prefix has a revision above after, or
+	// until the service's maximum wait has passed, and returns the highest
+	// revision under prefix.
+	Watch(ctx context.Context, prefix string, after Revision) (Revision, error)
+}
+
+// HostLister gives the platform's lagging list of hosts.
+type HostLister interface {
+	Hosts(ctx context.Context) ([]Host, error)
+}
+
+// Host is an entry of the platform's host list.
+type Host struct {
+	Name          string    `json:"name"`
+	Role          Role      `json:"role"`
+	Service       string    `json:"service,omitempty"`
+	Address       string    `json:"address"`
+	PeerAddress   string    `json:"peer_address,omitempty"`
+	FailureDomain string    `json:"failure_domain"`
+	Region        string    `json:"region,omitempty"`
+	State         HostState `json:"state"`
+}
+
+// Role is what a host does.
+type Role string
+
+// The roles of hosts.
+const (
+	RoleEntry  Role = "entry"
+	RoleEngine Role = "engine"
+	RolePlain  Role = "plain"
+)
+
+// HostState is the state of a host in the platform's list.
+type HostState string
+
+// The states of hosts.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
--- /dev/null
+++ b/internal/sched/messages.go
@@ -0,0 +1,94 @@
+// Package sched schedules the requests of one cell: admission, queueing,
+// fairness between organisations, memory and placement on engines.
+package sched
+
+import "time"
+
+// Request asks the scheduler of a cell for a place on an engine.
+type Request struct {
+	// ID identifies the request; repeating an acquire with the same ID and
+	// attempt returns the same grant.
+	ID      string `json:"id"`
+	Attempt int    `json:"attempt"`
+	Cell    string `json:"cell"`
+	// Entry and EntryIncarnation name the entry node that holds the caller.
+	Entry            string  `json:"entry"`
+	EntryIncarnation uint64  `json:"entry_incarnation"`
+	Organisation     string  `json:"organisation"`
+	Weight           float64 `json:"weight"`
+	Model            string  `json:"model"`
+	// PromptTokens is the estimated length of the prompt, MaxTokens the
+	// largest answer.
+	PromptTokens int `json:"prompt_tokens"`
+	MaxTokens    int `json:"max_tokens"`
+	// Prefixes are the hashes of the prompt's prefixes of 4 KiB, 8 KiB and so
+	// on, doubling, in ascending order.
+	Prefixes []string `json:"prefixes,omitempty"`
+	// Fingerprint identifies the prompt; equal prompts in flight share an
+	// engine.
+	Fingerprint string `json:"fingerprint"`
+	// Alone asks for an engine that runs nothing else.
+	Alone bool `json:"alone,omitempty"`
+	// Remaining is the time left until the request's deadline.
+	Remaining time.Duration `json:"remaining_ns"`
+	// Avoid lists engines on which this request failed before.
+	Avoid []string `json:"avoid,omitempty"`
+}
+
+// Grant is a place on an engine.
+type Grant struct {
+	ID    string `json:"id"`
+	Cell  string `json:"cell"`
+	Owner string `json:"owner"`
+	// Engine and Address name the engine that runs the request. Members are
+	// the addresses of further engines that hold part of its KV cache, with
+	// Reservation made on all of them.
+	Engine      string   `json:"engine"`
+	Address     string   `json:"address"`
+	Members     []string `json:"members,omitempty"`
+	Reservation string   `json:"reservation,omitempty"`
+	// Priority for the engine; 0 is the highest.
+	Priority int `json:"priority"`
+	// Lifetime is how long the grant lasts without renewal.
+	Lifetime time.Duration `json:"lifetime_ns"`
+	Digest   Digest        `json:"digest"`
+}
+
+// Digest summarises the load of a cell for the choice between cells.
+type Digest struct {
+	// FreeTokens is unreserved KV memory, QueuedTokens the work waiting.
+	FreeTokens   int `json:"free_tokens"`
+	QueuedTokens int `json:"queued_tokens"`
+	// Wait is the predicted queueing time of a short request.
+	Wait time.Duration `json:"wait_ns"`
+}
+
+// Held describes a grant that an entry node holds, for renewal and for
+// rebuilding a scheduler after a takeover.
+type Held struct {
+	ID           string `json:"id"`
+	RequestID    string `json:"request_id"`
+	Engine       string `json:"engine"`
+	Organisation string `json:"organisation"`
+	Fingerprint  string `json:"fingerprint"`
+	Tokens       int    `json:"tokens"`
+}
+
+// Renewal extends all grants of one entry node in one cell.
+type Renewal struct {
+	Cell             string `json:"cell"`
+	Entry            string `json:"entry"`
+	EntryIncarnation uint64 `json:"entry_incarnation"`
+	Held             []Held `json:"held"`
+}
+
+// Release ends a grant and reports what it used.
+type Release struct {
+	Cell             string `json:"cell"`
+	ID               string `json:"id"`
+	PromptTokens     int    `json:"prompt_tokens"`
+	CachedTokens     int    `json:"cached_tokens"`
+	CompletionTokens int    `json:"completion_tokens"`
+	// Failed says that the engine was lost or refused the request.
+	Failed bool `json:"failed,omitempty"`
+}
--- /dev/null
+++ b/pkg/confd/doc.go
@@ -0,0 +1,2 @@
+// Package confd defines the operators' configuration document.
+package confd
--- /dev/null
+++ b/pkg/group/group.go
@@ -0,0 +1,76 @@
+// Package group starts goroutines that are stopped and waited for together.
+package group
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime/debug"
+	"sync"
+)
+
+// Group owns a set of goroutines. A goroutine that returns an error or panics
+// stops the whole group; the first such error is the result of Wait.
+type Group struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	wg     sync.WaitGroup
+
+	mu  sync.Mutex
+	err error
+}
+
+// errStopped is the cancellation cause after Stop.
+var errStopped = errors.New("group stopped")
+
+// New returns a group whose goroutines receive a context derived from ctx.
+func New(ctx context.Context) *Group {
+	ctx, cancel := context.WithCancelCause(ctx)
+	return &Group{ctx: ctx, cancel: cancel}
+}
+
+// Context returns the context that ends when the group stops.
+func (g *Group) Context() context.Context { return g.ctx }
+
+// Go runs fn in a goroutine of the group. The name appears in the error of a
+// failed goroutine. A context error after the group stopped is not a failure.
+func (g *Group) Go(name string, fn func(ctx context.Context) error) {
+	g.wg.Go(func() {
+		err := run(g.ctx, fn)
+		if err == nil || (g.ctx.Err() != nil && errors.Is(err, context.Canceled)) {
+			return
+		}
+		g.fail(fmt.Errorf("%s: %w", name, err))
+	})
+}
+
+// Stop ends the context of the group.
+func (g *Group) Stop() { g.cancel(errStopped) }
+
+// Wait blocks until every goroutine has returned, then returns the first
+// error. The group's context has ended when Wait returns.
+func (g *Group) Wait() error {
+	g.wg.Wait()
+	g.cancel(errStopped)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.err
+}
+
+func (g *Group) fail(err error) {
+	g.mu.Lock()
+	if g.err == nil {
+		g.err = err
+	}
+	g.mu.Unlock()
+	g.cancel(err)
+}
+
+func run(ctx context.Context, fn func(ctx context.Context) error) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("panic: %v\n%s", p, debug.Stack())
+		}
+	}()
+	return fn(ctx)
+}
--- /dev/null
+++ b/pkg/queue/doc.go
@@ -0,0 +1,2 @@
+// Package queue holds generic containers for schedulers.
+package queue
