wire, engine: add the peer transport and the engine client

Peer calls run over jsonrpc2 on one connection per peer. A probe runs while calls are in flight, so a connection that went silent is closed and its calls end as reply_lost instead of waiting for their deadlines. A canceled call tells the peer. Built and linted; not yet covered by tests.

--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,249 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+const (
+	// controlTimeout bounds each call other than a stream.
+	controlTimeout = 2 * time.Second
+	// connectTimeout bounds the dialling of an upstream.
+	connectTimeout = time.Second
+	// headerTimeout is the wait for the response header of a stream. Engines
+	// answer before the prefill, so a longer wait means a frozen engine.
+	headerTimeout = 5 * time.Second
+	// maxControlBody bounds the answer to a control call, in bytes.
+	maxControlBody = 8 << 20
+	// idleConnsPerUpstream bounds the idle connections kept to one upstream.
+	idleConnsPerUpstream = 64
+)
+
+// Client calls engines over HTTP.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client. The transport may be nil for the default, which
+// uses no proxy and bounds dialling.
+func NewClient(transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = NewTransport()
+	}
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// NewTransport returns the HTTP transport for upstreams.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnsPerUpstream,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+}
+
+// Start starts a stream. Errors: Unreachable and Refused say that the engine
+// did not start it, Conflict that a stream with this id exists, UpstreamLost
+// that it may have started.
+func (c *Client) Start(ctx context.Context, address string, req StartRequest) (*Reader, error) {
+	return c.open(ctx, address, "/v1/streams", req)
+}
+
+// Resume attaches to a running stream from the given sequence number. NotFound
+// says that the engine does not hold the stream.
+func (c *Client) Resume(ctx context.Context, address, id string, attempt, from int) (*Reader, error) {
+	body := struct {
+		Attempt int `json:"attempt"`
+		From    int `json:"from"`
+	}{attempt, from}
+	return c.open(ctx, address, "/v1/streams/"+url.PathEscape(id)+"/resume", body)
+}
+
+// open posts a request whose answer is a stream of frames.
+func (c *Client) open(ctx context.Context, address, path string, body any) (*Reader, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	watchdog := time.AfterFunc(headerTimeout, func() { cancel(errSilent) })
+	resp, err := c.post(ctx, address, path, body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = statusError(resp)
+	}
+	if err != nil {
+		watchdog.Stop()
+		cancel(nil)
+		return nil, err
+	}
+	return newReader(ctx, cancel, watchdog, resp.Body), nil
+}
+
+func (c *Client) post(ctx context.Context, address, path string, body any) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "encoding a request to %s", path)
+	}
+	req, err := newRequest(ctx, http.MethodPost, address, path, data)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, sendError(err, address)
+	}
+	return resp, nil
+}
+
+func newRequest(ctx context.Context, method, address, path string, body []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "building a request to %s", path)
+	}
+	if len(body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return req, nil
+}
+
+// sendError classifies an error of http.Client.Do. A failed dial means that
+// the upstream received nothing; anything else may have reached it.
+func sendError(err error, address string) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fault.Wrap(fault.Unreachable, err, "cannot connect to upstream %s", address)
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fault.Wrap(fault.Timeout, err, "upstream %s did not answer in time", address)
+	}
+	return fault.Wrap(fault.UpstreamLost, err, "lost upstream %s", address)
+}
+
+// statusError closes the response and returns its error.
+func statusError(resp *http.Response) error {
+	defer func() { _ = resp.Body.Close() }()
+	var body struct {
+		Error string `json:"error"`
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBody))
+	if err != nil || json.Unmarshal(data, &body) != nil || body.Error == "" {
+		body.Error = resp.Status
+	}
+	kind := fault.UpstreamFailed
+	switch resp.StatusCode {
+	case http.StatusConflict:
+		kind = fault.Conflict
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		kind = fault.Refused
+	case http.StatusNotFound:
+		kind = fault.NotFound
+	case http.StatusBadRequest:
+		kind = fault.Invalid
+	}
+	return fault.New(kind, "upstream answered %d: %s", resp.StatusCode, body.Error)
+}
+
+// control makes a bounded call and decodes its answer into out, if not nil.
+func (c *Client) control(ctx context.Context, method, address, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return fault.Wrap(fault.Internal, err, "encoding a request to %s", path)
+		}
+	}
+	req, err := newRequest(ctx, method, address, path, body)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return sendError(err, address)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return statusError(resp)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if out == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxControlBody))
+	} else {
+		err = json.NewDecoder(io.LimitReader(resp.Body, maxControlBody)).Decode(out)
+	}
+	return fault.Wrap(fault.UpstreamLost, err, "reading the answer of %s", address)
+}
+
+// Cancel ends a stream and frees its memory. A stream that the engine does not
+// hold is not an error.
+func (c *Client) Cancel(ctx context.Context, address, id string) error {
+	err := c.control(ctx, http.MethodDelete, address, "/v1/streams/"+url.PathEscape(id), nil, nil)
+	if fault.Is(err, fault.NotFound) {
+		return nil
+	}
+	return err
+}
+
+// Streams lists the streams that the engine holds.
+func (c *Client) Streams(ctx context.Context, address string) ([]Stream, error) {
+	var out struct {
+		Streams []Stream `json:"streams"`
+	}
+	err := c.control(ctx, http.MethodGet, address, "/v1/streams", nil, &out)
+	return out.Streams, err
+}
+
+// Load returns the engine's latest load report.
+func (c *Client) Load(ctx context.Context, address string) (LoadReport, error) {
+	var out LoadReport
+	err := c.control(ctx, http.MethodGet, address, "/v1/load", nil, &out)
+	return out, err
+}
+
+// CacheEvents returns the events after the given sequence number and the
+// number to ask from next.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, uint64, error) {
+	var out struct {
+		Events []CacheEvent `json:"events"`
+		Next   uint64       `json:"next"`
+	}
+	err := c.control(ctx, http.MethodGet, address, fmt.Sprintf("/v1/cache/events?after=%d", after), nil, &out)
+	return out.Events, out.Next, err
+}
+
+// Reserve reserves KV memory, in tokens, until ttl passes.
+func (c *Client) Reserve(ctx context.Context, address, id string, tokens int, ttl time.Duration) error {
+	body := struct {
+		ID        string `json:"id"`
+		Tokens    int    `json:"tokens"`
+		TTLMillis int64  `json:"ttl_ms"`
+	}{id, tokens, ttl.Milliseconds()}
+	return c.control(ctx, http.MethodPost, address, "/v1/reservations", body, nil)
+}
+
+// Unreserve ends a reservation. An unknown reservation is not an error.
+func (c *Client) Unreserve(ctx context.Context, address, id string) error {
+	err := c.control(ctx, http.MethodDelete, address, "/v1/reservations/"+url.PathEscape(id), nil, nil)
+	if fault.Is(err, fault.NotFound) {
+		return nil
+	}
+	return err
+}
+
+// Order sends an order with its fencing number. Stale says that the engine
+// has seen a higher one.
+func (c *Client) Order(ctx context.Context, address string, order Order) error {
+	err := c.control(ctx, http.MethodPost, address, "/v1/orders", order, nil)
+	if fault.Is(err, fault.Conflict) {
+		return fault.Wrap(fault.Stale, err, "order with fencing number %d refused", order.Fence)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/wire/client.go
@@ -0,0 +1,265 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+const (
+	dialTimeout = time.Second
+	// redialDelay is how long a failed dial is remembered, so that many calls
+	// to a dead peer do not each dial it.
+	redialDelay = 250 * time.Millisecond
+)
+
+// Client calls peers over one connection per address. A connection that goes
+// silent while calls wait on it is closed and replaced.
+type Client struct {
+	tls   *tls.Config
+	group *group.Group
+	ids   atomic.Uint64
+
+	bytesRead    atomic.Int64
+	bytesWritten atomic.Int64
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+var _ Caller = (*Client)(nil)
+
+// NewClient returns a client whose connections use the given TLS settings, or
+// plain TCP when they are nil. Its goroutines belong to g and end with it.
+func NewClient(g *group.Group, tlsConfig *tls.Config) *Client {
+	return &Client{tls: tlsConfig, group: g, peers: map[string]*peer{}}
+}
+
+// Traffic returns the bytes read and written over the life of the client.
+func (c *Client) Traffic() (read, written int64) {
+	return c.bytesRead.Load(), c.bytesWritten.Load()
+}
+
+// Call implements Caller.
+func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return fault.New(fault.Internal, "call of %s without a deadline", method)
+	}
+	meta := callMeta{TimeoutMillis: time.Until(deadline).Milliseconds()}
+	for {
+		link, err := c.peer(address).connect(ctx, c)
+		if err != nil {
+			return err
+		}
+		sent, err := c.callOn(ctx, link, method, params, result, meta)
+		if sent || !errors.Is(err, jsonrpc2.ErrClosed) {
+			return err
+		}
+		link.close()
+	}
+}
+
+// callOn makes one call on one connection. The first result is false when the
+// connection was closed before the message was written.
+func (c *Client) callOn(ctx context.Context, link *link, method string, params, result any, meta callMeta) (bool, error) {
+	id := jsonrpc2.ID{Str: strconv.FormatUint(c.ids.Add(1), 36), IsString: true}
+	link.pending.Add(1)
+	defer link.pending.Add(-1)
+
+	waiter, err := link.conn.DispatchCall(ctx, method, params, jsonrpc2.PickID(id), jsonrpc2.Meta(meta))
+	if err != nil {
+		if errors.Is(err, jsonrpc2.ErrClosed) {
+			return false, err
+		}
+		link.close()
+		return true, fault.Wrap(fault.ReplyLost, err, "sending %s failed", method)
+	}
+	err = waiter.Wait(ctx, result)
+	switch {
+	case err == nil:
+		return true, nil
+	case ctx.Err() != nil:
+		c.cancel(ctx, link, id)
+		return true, fault.Wrap(fault.KindOf(ctx.Err()), err, "no answer to %s", method)
+	case asPeerError(err) != nil:
+		return true, decodeError(asPeerError(err))
+	}
+	return true, fault.Wrap(fault.ReplyLost, err, "connection lost while waiting for %s", method)
+}
+
+// cancel tells the peer that nobody waits for a call any more.
+func (c *Client) cancel(ctx context.Context, link *link, id jsonrpc2.ID) {
+	ctx = context.WithoutCancel(ctx)
+	c.group.Go("wire cancel", func(context.Context) error {
+		if err := link.conn.Notify(ctx, methodCancel, cancelParams{ID: id.Str}); err != nil {
+			link.close()
+		}
+		return nil
+	})
+}
+
+func (c *Client) peer(address string) *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[address]
+	if !ok {
+		p = &peer{address: address, turn: make(chan struct{}, 1)}
+		c.peers[address] = p
+	}
+	return p
+}
+
+// Forget closes the connection to an address that left the membership.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	p := c.peers[address]
+	delete(c.peers, address)
+	c.mu.Unlock()
+	if p != nil {
+		if l := p.current.Load(); l != nil {
+			l.close()
+		}
+	}
+}
+
+// Connections returns the number of open connections.
+func (c *Client) Connections() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, p := range c.peers {
+		if l := p.current.Load(); l != nil && !l.closed() {
+			n++
+		}
+	}
+	return n
+}
+
+// peer is an address with its current connection.
+type peer struct {
+	address string
+	current atomic.Pointer[link]
+	// turn serialises dialling; it is a channel so that waiting ends with the
+	// context.
+	turn     chan struct{}
+	failedAt time.Time
+	failure  error
+}
+
+// connect returns the open connection of the peer, dialling it if needed.
+func (p *peer) connect(ctx context.Context, c *Client) (*link, error) {
+	if l := p.current.Load(); l != nil && !l.closed() {
+		return l, nil
+	}
+	select {
+	case p.turn <- struct{}{}:
+		defer func() { <-p.turn }()
+	case <-ctx.Done():
+		return nil, fault.Wrap(fault.Unreachable, ctx.Err(), "waiting to dial %s", p.address)
+	}
+	if l := p.current.Load(); l != nil && !l.closed() {
+		return l, nil
+	}
+	if p.failure != nil && time.Since(p.failedAt) < redialDelay {
+		return nil, p.failure
+	}
+	conn, err := c.dial(ctx, p.address)
+	if err != nil {
+		p.failedAt = time.Now()
+		p.failure = fault.Wrap(fault.Unreachable, err, "cannot reach peer %s", p.address)
+		return nil, p.failure
+	}
+	p.failure = nil
+	l := c.open(conn)
+	p.current.Store(l)
+	return l, nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := &net.Dialer{KeepAliveConfig: keepAlive}
+	if c.tls == nil {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	return (&tls.Dialer{NetDialer: dialer, Config: c.tls}).DialContext(ctx, "tcp", address)
+}
+
+// link is one connection to a peer.
+type link struct {
+	raw     *trackedConn
+	conn    *jsonrpc2.Conn
+	pending atomic.Int64
+}
+
+func (c *Client) open(conn net.Conn) *link {
+	raw := newTrackedConn(conn, &c.bytesRead, &c.bytesWritten)
+	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
+	l := &link{raw: raw}
+	// The connection outlives the call that opened it and ends with the group.
+	l.conn = jsonrpc2.NewConn(c.group.Context(), stream, refuseAll{}, jsonrpc2.SetLogger(discard{}))
+	c.group.Go("wire monitor", l.monitor)
+	return l
+}
+
+func (l *link) close() { _ = l.conn.Close() }
+
+func (l *link) closed() bool {
+	select {
+	case <-l.conn.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
+// monitor closes the connection when a probe finds it silent while calls are
+// in flight, or when the group ends.
+func (l *link) monitor(ctx context.Context) error {
+	defer l.close()
+	ticker := time.NewTicker(silenceCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.conn.DisconnectNotify():
+			return nil
+		case <-ticker.C:
+		}
+		if l.pending.Load() == 0 || l.raw.silentFor() < silenceCheck {
+			continue
+		}
+		if err := l.probe(ctx); err != nil && l.raw.silentFor() >= silenceTimeout {
+			return nil
+		}
+	}
+}
+
+func (l *link) probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, silenceTimeout)
+	defer cancel()
+	return l.conn.Call(ctx, methodPing, nil, nil)
+}
+
+// refuseAll ignores calls that a server sends to its client; there are none.
+type refuseAll struct{}
+
+func (refuseAll) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
+
+// discard drops the messages of the jsonrpc2 library; failures are reported
+// through the calls that they affect.
+type discard struct{}
+
+func (discard) Printf(string, ...any) {}
--- /dev/null
+++ b/internal/wire/conn.go
@@ -0,0 +1,66 @@
+package wire
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// writeTimeout bounds one write to a peer. Without it a frozen peer whose
+	// receive window is full would block every call on the connection.
+	writeTimeout = 5 * time.Second
+	// silenceCheck is how often a connection with calls in flight is examined.
+	silenceCheck = time.Second
+	// silenceTimeout is how long a connection may deliver nothing while a
+	// probe on it is unanswered before it is closed.
+	silenceTimeout = 2 * time.Second
+)
+
+// trackedConn records when the connection last delivered data and bounds each
+// write.
+type trackedConn struct {
+	net.Conn
+	lastRead     atomic.Int64
+	bytesRead    *atomic.Int64
+	bytesWritten *atomic.Int64
+}
+
+func newTrackedConn(conn net.Conn, read, written *atomic.Int64) *trackedConn {
+	c := &trackedConn{Conn: conn, bytesRead: read, bytesWritten: written}
+	c.lastRead.Store(time.Now().UnixNano())
+	return c
+}
+
+// Read reads from the connection and notes the time.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.lastRead.Store(time.Now().UnixNano())
+		c.bytesRead.Add(int64(n))
+	}
+	return n, err
+}
+
+// Write writes to the connection within writeTimeout.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.bytesWritten.Add(int64(n))
+	return n, err
+}
+
+// silentFor returns the time since the connection last delivered data.
+func (c *trackedConn) silentFor() time.Duration {
+	return time.Duration(time.Now().UnixNano() - c.lastRead.Load())
+}
+
+// keepAlive makes the kernel drop connections whose other end is gone.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     15 * time.Second,
+	Interval: 5 * time.Second,
+	Count:    3,
+}
--- /dev/null
+++ b/internal/wire/envelope.go
@@ -0,0 +1,61 @@
+package wire
+
+import (
+	"encoding/json"
+	"errors"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// The methods of the transport itself.
+const (
+	methodPing   = "wire.ping"
+	methodCancel = "wire.cancel"
+)
+
+// callMeta travels with each call beside its parameters.
+type callMeta struct {
+	// TimeoutMillis is the time left until the caller's deadline.
+	TimeoutMillis int64 `json:"timeout_ms"`
+}
+
+type cancelParams struct {
+	ID string `json:"id"`
+}
+
+// errorCode is the code of errors whose kind is in their data.
+const errorCode = -32000
+
+type errorData struct {
+	Kind string `json:"kind"`
+}
+
+// encodeError turns an error of a handler into a jsonrpc2 error that keeps
+// its kind.
+func encodeError(err error) *jsonrpc2.Error {
+	e := &jsonrpc2.Error{Code: errorCode, Message: err.Error()}
+	e.SetError(errorData{Kind: fault.KindOf(err).String()})
+	return e
+}
+
+// decodeError restores the kind of an error that a peer answered.
+func decodeError(err *jsonrpc2.Error) error {
+	var data errorData
+	if err.Data != nil && json.Unmarshal(*err.Data, &data) == nil {
+		if kind, ok := fault.ParseKind(data.Kind); ok {
+			return fault.New(kind, "%s", err.Message)
+		}
+	}
+	return fault.New(fault.Internal, "%s", err.Message)
+}
+
+// asPeerError returns the jsonrpc2 error that a peer answered, or nil.
+func asPeerError(err error) *jsonrpc2.Error {
+	var peer *jsonrpc2.Error
+	if errors.As(err, &peer) {
+		return peer
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,237 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+const (
+	// handshakeTimeout bounds the TLS handshake of a new connection.
+	handshakeTimeout = 3 * time.Second
+	// maxCallTimeout bounds the deadline that a peer may ask for.
+	maxCallTimeout = time.Hour
+	// maxCallsPerConn bounds the calls that one connection has in flight.
+	maxCallsPerConn = 10_000
+)
+
+// Server answers the calls of peers with the handlers of a mux.
+type Server struct {
+	mux   *Mux
+	tls   *tls.Config
+	group *group.Group
+	log   logrus.FieldLogger
+
+	bytesRead    atomic.Int64
+	bytesWritten atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*jsonrpc2.Conn]struct{}
+}
+
+// NewServer returns a server. With TLS settings it accepts only peers whose
+// certificate those settings verify; without them it serves plain TCP.
+func NewServer(g *group.Group, mux *Mux, tlsConfig *tls.Config, log logrus.FieldLogger) *Server {
+	return &Server{mux: mux, tls: tlsConfig, group: g, log: log, conns: map[*jsonrpc2.Conn]struct{}{}}
+}
+
+// Traffic returns the bytes read and written over the life of the server.
+func (s *Server) Traffic() (read, written int64) {
+	return s.bytesRead.Load(), s.bytesWritten.Load()
+}
+
+// Serve accepts connections until the context ends, then closes all of them.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close(); s.closeAll() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			s.log.WithError(err).WithField("event", "peer_accept_failed").Warn("accepting a peer connection failed")
+			continue
+		}
+		s.group.Go("wire connection", func(context.Context) error {
+			s.serveConn(ctx, conn)
+			return nil
+		})
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(keepAlive)
+	}
+	from, conn, err := s.authenticate(ctx, conn)
+	if err != nil {
+		s.log.WithError(err).WithField("event", "peer_refused").Warn("a peer connection was refused")
+		return
+	}
+	session := &session{server: s, from: from, cancels: map[string]context.CancelFunc{}}
+	stream := jsonrpc2.NewBufferedStream(
+		newTrackedConn(conn, &s.bytesRead, &s.bytesWritten), jsonrpc2.VarintObjectCodec{})
+	rpc := jsonrpc2.NewConn(ctx, stream, session, jsonrpc2.SetLogger(discard{}))
+	s.mu.Lock()
+	s.conns[rpc] = struct{}{}
+	s.mu.Unlock()
+
+	<-rpc.DisconnectNotify()
+	session.cancelAll()
+	s.mu.Lock()
+	delete(s.conns, rpc)
+	s.mu.Unlock()
+}
+
+// authenticate completes the TLS handshake and returns the peer's name: the
+// common name of its certificate, or its address without TLS.
+func (s *Server) authenticate(ctx context.Context, conn net.Conn) (string, net.Conn, error) {
+	if s.tls == nil {
+		return conn.RemoteAddr().String(), conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	secured := tls.Server(conn, s.tls)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return "", nil, fault.Wrap(fault.Unauthenticated, err, "handshake with %s failed", conn.RemoteAddr())
+	}
+	certs := secured.ConnectionState().PeerCertificates
+	if len(certs) == 0 {
+		return "", nil, fault.New(fault.Unauthenticated, "peer %s has no certificate", conn.RemoteAddr())
+	}
+	return certs[0].Subject.CommonName, secured, nil
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+// session handles the calls of one connection.
+type session struct {
+	server *Server
+	from   string
+
+	mu      sync.Mutex
+	cancels map[string]context.CancelFunc
+}
+
+// Handle implements jsonrpc2.Handler. It runs each call in its own goroutine,
+// because some wait for long.
+func (h *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	switch {
+	case req.Method == methodCancel:
+		h.cancel(req)
+		return
+	case req.Notif:
+		return
+	case req.Method == methodPing:
+		_ = conn.Reply(ctx, req.ID, nil)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(req))
+	if !h.register(req.ID.Str, cancel) {
+		cancel()
+		_ = conn.ReplyWithError(ctx, req.ID, encodeError(fault.New(fault.Overloaded, "too many calls on this connection")))
+		return
+	}
+	h.server.group.Go("wire call", func(context.Context) error {
+		defer h.unregister(req.ID.Str, cancel)
+		h.serve(ctx, conn, req)
+		return nil
+	})
+}
+
+func (h *session) serve(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	result, err := h.dispatch(ctx, req.Method, params)
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, req.ID, encodeError(err))
+		return
+	}
+	if err := conn.Reply(ctx, req.ID, result); err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
+		h.server.log.WithError(err).WithFields(logrus.Fields{"event": "peer_reply_failed", "method": req.Method}).
+			Debug("a reply to a peer could not be sent")
+	}
+}
+
+// dispatch runs the handler; a panic in it fails this call only.
+func (h *session) dispatch(ctx context.Context, method string, params json.RawMessage) (result any, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			h.server.log.WithFields(logrus.Fields{"event": "peer_handler_panic", "method": method, "stack": string(debug.Stack())}).
+				Errorf("handler panicked: %v", p)
+			err = fault.New(fault.Internal, "handler of %s failed", method)
+		}
+	}()
+	return h.server.mux.Serve(ctx, h.from, method, params)
+}
+
+func (h *session) register(id string, cancel context.CancelFunc) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.cancels) >= maxCallsPerConn {
+		return false
+	}
+	h.cancels[id] = cancel
+	return true
+}
+
+func (h *session) unregister(id string, cancel context.CancelFunc) {
+	cancel()
+	h.mu.Lock()
+	delete(h.cancels, id)
+	h.mu.Unlock()
+}
+
+func (h *session) cancel(req *jsonrpc2.Request) {
+	var params cancelParams
+	if req.Params == nil || json.Unmarshal(*req.Params, &params) != nil {
+		return
+	}
+	h.mu.Lock()
+	cancel := h.cancels[params.ID]
+	h.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (h *session) cancelAll() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, cancel := range h.cancels {
+		cancel()
+	}
+}
+
+func timeoutOf(req *jsonrpc2.Request) time.Duration {
+	var meta callMeta
+	if req.Meta == nil || json.Unmarshal(*req.Meta, &meta) != nil || meta.TimeoutMillis <= 0 {
+		return dialTimeout
+	}
+	return min(time.Duration(meta.TimeoutMillis)*time.Millisecond, maxCallTimeout)
+}
