--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -80,6 +80,7 @@
 		err = statusError(resp)
 	}
 	if err != nil {
+		err = causeOf(ctx, err)
 		watchdog.Stop()
 		cancel(nil)
 		return nil, err
@@ -87,6 +88,18 @@
 	return newReader(ctx, cancel, watchdog, resp.Body), nil
 }
 
+// causeOf returns err with the reason for which the context ended, if it did.
+func causeOf(ctx context.Context, err error) error {
+	switch cause := context.Cause(ctx); {
+	case cause == nil || fault.Is(err, fault.Unreachable):
+		return err
+	case errors.Is(cause, errSilent):
+		return fault.Wrap(fault.UpstreamLost, errSilent, "no answer from the upstream")
+	default:
+		return fault.Wrap(fault.KindOf(ctx.Err()), cause, "waiting for the upstream")
+	}
+}
+
 func (c *Client) post(ctx context.Context, address, path string, body any) (*http.Response, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -98,7 +111,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, sendError(err, address)
+		return nil, SendError(err, address)
 	}
 	return resp, nil
 }
@@ -114,9 +127,9 @@
 	return req, nil
 }
 
-// sendError classifies an error of http.Client.Do. A failed dial means that
+// SendError classifies an error of http.Client.Do. A failed dial means that
 // the upstream received nothing; anything else may have reached it.
-func sendError(err error, address string) error {
+func SendError(err error, address string) error {
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		return fault.Wrap(fault.Unreachable, err, "cannot connect to upstream %s", address)
@@ -168,7 +181,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return sendError(err, address)
+		return SendError(err, address)
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		return statusError(resp)
--- a/internal/engine/reader.go
+++ b/internal/engine/reader.go
@@ -70,3 +70,7 @@
 	r.cancel(nil)
 	_ = r.body.Close()
 }
+
+// Silent reports whether err says that a connection went silent, as opposed to
+// being closed.
+func Silent(err error) bool { return errors.Is(err, errSilent) }
--- /dev/null
+++ b/internal/entry/auth.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"github.com/verbenapier/verbenapier/pkg/confd"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// caller is an authenticated caller with the configuration that its request
+// sees from beginning to end.
+type caller struct {
+	organisation string
+	rules        confd.Organisation
+	document     *confd.Document
+	revision     uint64
+}
+
+// mayUse reports whether the caller's organisation may use a service.
+func (c caller) mayUse(service string) bool {
+	if len(c.rules.Services) == 0 {
+		return true
+	}
+	for _, name := range c.rules.Services {
+		if name == service {
+			return true
+		}
+	}
+	return false
+}
+
+// keyIndex maps key hashes to organisations for the latest revision seen.
+type keyIndex struct {
+	current atomic.Pointer[keyTable]
+}
+
+type keyTable struct {
+	revision      uint64
+	organisations map[string]string
+}
+
+// lookup returns the organisation of a key hash.
+func (k *keyIndex) lookup(doc *confd.Document, revision uint64, hash string) (string, bool) {
+	table := k.current.Load()
+	if table == nil || table.revision != revision {
+		table = newKeyTable(doc, revision)
+		k.current.Store(table)
+	}
+	name, ok := table.organisations[hash]
+	return name, ok
+}
+
+func newKeyTable(doc *confd.Document, revision uint64) *keyTable {
+	table := &keyTable{revision: revision, organisations: make(map[string]string, len(doc.Organisations))}
+	for name, org := range doc.Organisations {
+		for _, hash := range org.Keys {
+			table.organisations[hash] = name
+		}
+	}
+	return table
+}
+
+// authenticate names the organisation by the hash of the bearer key. The
+// lookup is by hash, so its timing tells nothing about stored keys.
+func (s *Server) authenticate(r *http.Request) (caller, error) {
+	doc, revision, err := s.options.Configuration.Document()
+	if err != nil {
+		return caller{}, err
+	}
+	scheme, key, ok := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return caller{}, fault.New(fault.Unauthenticated, "an API key is needed in the header Authorization: Bearer")
+	}
+	sum := sha256.Sum256([]byte(key))
+	name, ok := s.keys.lookup(doc, revision, "sha256:"+hex.EncodeToString(sum[:]))
+	if !ok {
+		return caller{}, fault.New(fault.Unauthenticated, "the API key belongs to no organisation")
+	}
+	return caller{organisation: name, rules: doc.Organisations[name], document: doc, revision: revision}, nil
+}
--- /dev/null
+++ b/internal/entry/errors.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// runHeader says on an error whether the request was run.
+const runHeader = "X-Verbenapier-Run"
+
+// retryAfterSeconds is the pause asked of callers before they resend.
+const retryAfterSeconds = 1
+
+// errorBody is the error body of the OpenAI API.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+}
+
+func newErrorBody(err error) errorBody {
+	answer := fault.KindOf(err).Answer()
+	return errorBody{Error: errorDetail{
+		Message: fault.MessageOf(err),
+		Type:    errorType(answer.Status),
+		Code:    answer.Code,
+	}}
+}
+
+// errorType returns the type that the OpenAI API uses for a status.
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusForbidden:
+		return "permission_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	}
+	return "server_error"
+}
+
+// fail answers a request with an error. It must be called before anything was
+// written.
+func (s *Server) fail(w http.ResponseWriter, r *http.Request, err error) {
+	kind := fault.KindOf(err)
+	answer := kind.Answer()
+	s.options.Metrics.Tagged(map[string]string{"code": answer.Code}).Counter("errors").Inc(1)
+	s.options.Log.WithFields(logrus.Fields{
+		"event": "request_failed", "code": answer.Code, "run": answer.Run, "path": r.URL.Path,
+	}).Debug(err.Error())
+
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(runHeader, string(answer.Run))
+	if answer.Resend && header.Get("Retry-After") == "" {
+		header.Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	}
+	if kind == fault.TooLarge || kind == fault.Leaving {
+		header.Set("Connection", "close")
+	}
+	w.WriteHeader(answer.Status)
+	// A failed write means that the caller is gone.
+	_ = json.NewEncoder(w).Encode(newErrorBody(err))
+}
--- /dev/null
+++ b/internal/entry/openai.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/verbenapier/verbenapier/pkg/confd"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// defaultMaxTokens is the answer length of a request that states none.
+const defaultMaxTokens = 256
+
+// maxAnswerTokens bounds the answer length a request may ask for.
+const maxAnswerTokens = 65_536
+
+// completionRequest is the part of the OpenAI request bodies that matters
+// here. Unknown fields are ignored, as that API's clients send many.
+type completionRequest struct {
+	Model               string          `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []chatMessage   `json:"messages"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	N *int `json:"n"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// answerLength returns the largest number of tokens to generate.
+func (r *completionRequest) answerLength() (int, error) {
+	length := defaultMaxTokens
+	if r.MaxTokens != nil {
+		length = *r.MaxTokens
+	}
+	if r.MaxCompletionTokens != nil {
+		length = *r.MaxCompletionTokens
+	}
+	if length < 1 || length > maxAnswerTokens {
+		return 0, fault.New(fault.Invalid, "max_tokens is %d; allowed is 1 to %d", length, maxAnswerTokens)
+	}
+	return length, nil
+}
+
+// validate checks the fields that both interfaces share.
+func (r *completionRequest) validate() error {
+	if r.Model == "" {
+		return fault.New(fault.Invalid, "model is missing")
+	}
+	if r.N != nil && *r.N != 1 {
+		return fault.New(fault.Invalid, "n is %d; only 1 is supported", *r.N)
+	}
+	return nil
+}
+
+// textPrompt returns the prompt of a completion: a string or a list of one.
+func (r *completionRequest) textPrompt() (string, error) {
+	var text string
+	if json.Unmarshal(r.Prompt, &text) == nil && text != "" {
+		return text, nil
+	}
+	var list []string
+	if json.Unmarshal(r.Prompt, &list) == nil && len(list) == 1 && list[0] != "" {
+		return list[0], nil
+	}
+	return "", fault.New(fault.Invalid, "prompt must be a non-empty string or a list of one such string")
+}
+
+// chatPrompt returns the messages of a chat as one prompt, a line per message.
+func (r *completionRequest) chatPrompt() (string, error) {
+	if len(r.Messages) == 0 {
+		return "", fault.New(fault.Invalid, "messages is empty")
+	}
+	var prompt strings.Builder
+	for i, m := range r.Messages {
+		text, err := m.text()
+		if err != nil {
+			return "", fault.Wrap(fault.Invalid, err, "messages[%d]", i)
+		}
+		if m.Role == "" {
+			return "", fault.New(fault.Invalid, "messages[%d].role is missing", i)
+		}
+		prompt.WriteString(m.Role)
+		prompt.WriteString(": ")
+		prompt.WriteString(text)
+		prompt.WriteByte('\n')
+	}
+	return prompt.String(), nil
+}
+
+// text returns the text of a message, which is a string or a list of parts.
+func (m chatMessage) text() (string, error) {
+	var text string
+	if json.Unmarshal(m.Content, &text) == nil {
+		return text, nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(m.Content, &parts); err != nil {
+		return "", fault.New(fault.Invalid, "content must be a string or a list of text parts")
+	}
+	var all strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", fault.New(fault.Invalid, "content of type %q is not supported", p.Type)
+		}
+		all.WriteString(p.Text)
+	}
+	return all.String(), nil
+}
+
+// serviceOf returns the first engine service, by name, that serves a model and
+// that the caller may use.
+func (c caller) serviceOf(model string) (string, confd.Service, error) {
+	names := make([]string, 0, len(c.document.Services))
+	for name := range c.document.Services {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		service := c.document.Services[name]
+		if service.Kind != confd.KindEngine || !c.mayUse(name) {
+			continue
+		}
+		for _, m := range service.Models {
+			if m == model {
+				return name, service, nil
+			}
+		}
+	}
+	return "", confd.Service{}, fault.New(fault.NotFound, "model %q is not configured for this organisation", model)
+}
+
+// modelEntry is a model in the answer of GET /v1/models.
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models that the caller's organisation may use.
+func (s *Server) models(w http.ResponseWriter, _ *http.Request, who caller) {
+	seen := map[string]bool{}
+	list := []modelEntry{}
+	for name, service := range who.document.Services {
+		if service.Kind != confd.KindEngine || !who.mayUse(name) {
+			continue
+		}
+		for _, m := range service.Models {
+			if !seen[m] {
+				seen[m] = true
+				list = append(list, modelEntry{ID: m, Object: "model", OwnedBy: "verbenapier"})
+			}
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(struct {
+		Object string       `json:"object"`
+		Data   []modelEntry `json:"data"`
+	}{"list", list})
+}
--- /dev/null
+++ b/internal/entry/transfer.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/verbenapier/verbenapier/internal/engine"
+	"github.com/verbenapier/verbenapier/internal/sched"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// resumeTries bounds the attempts to attach to a stream again after its
+// connection was lost.
+const resumeTries = 3
+
+// transfer moves one stream from an engine to the caller.
+type transfer struct {
+	call  *call
+	grant sched.Grant
+	out   sink
+	// next is the sequence number of the next frame.
+	next int
+	// piece is the index of the next piece of the answer.
+	piece int
+	// crashed says that the engine died under the stream.
+	crashed bool
+	// held says that the engine may hold the stream.
+	held bool
+}
+
+// run starts the stream and passes it on to its end. A lost connection is
+// replaced, and the stream resumed at the next sequence number.
+func (t *transfer) run(ctx context.Context) error {
+	// The stream may outlive its reader on the engine, so it is canceled there
+	// unless it came to its end.
+	defer t.cleanUp(ctx)
+	reader, err := t.start(ctx)
+	if err != nil {
+		return err
+	}
+	for {
+		done, err := t.pump(reader)
+		reader.Close()
+		if done || !fault.Is(err, fault.UpstreamLost) {
+			return err
+		}
+		if reader, err = t.resume(ctx, err); err != nil {
+			return err
+		}
+	}
+}
+
+// start starts the stream. When the reply was lost the stream may exist, so it
+// is attached to rather than started again.
+func (t *transfer) start(ctx context.Context) (*engine.Reader, error) {
+	c := t.call
+	reader, err := c.server.options.Engines.Start(ctx, t.grant.Address, engine.StartRequest{
+		ID: t.grant.ID, Attempt: c.attempts, Organisation: c.scope, Model: c.model, Prompt: c.prompt,
+		MaxTokens: c.maxTokens, Priority: t.grant.Priority,
+		TimeLimitMillis: time.Until(c.deadline).Milliseconds(),
+		Reservation:     t.grant.Reservation, Members: t.grant.Members,
+	})
+	switch fault.KindOf(err) {
+	case fault.Unreachable, fault.Refused, fault.Invalid:
+		if err != nil {
+			return nil, err
+		}
+	case fault.NotFound:
+		return nil, fault.Wrap(fault.Refused, err, "engine %s does not serve the model", t.grant.Engine)
+	}
+	c.dispatched, t.held = true, true
+	if err == nil {
+		return reader, nil
+	}
+	if fault.Is(err, fault.Conflict) || fault.Is(err, fault.UpstreamLost) {
+		return t.resume(ctx, err)
+	}
+	return nil, err
+}
+
+// resume attaches to the stream again. The error is UpstreamLost when the
+// engine no longer holds it or cannot be reached.
+func (t *transfer) resume(ctx context.Context, lost error) (*engine.Reader, error) {
+	c := t.call
+	unreachable := 0
+	for try := 1; try <= resumeTries; try++ {
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		reader, err := c.server.options.Engines.Resume(ctx, t.grant.Address, t.grant.ID, c.attempts, t.next)
+		if err == nil {
+			c.log("stream_resumed").WithField("seq", t.next).Info("a stream was resumed on a new connection")
+			return reader, nil
+		}
+		if fault.Is(err, fault.NotFound) {
+			// The engine answers but lost the stream: it was restarted.
+			t.held = false
+			t.crashed = !engine.Silent(lost)
+			return nil, fault.Wrap(fault.UpstreamLost, err, "engine %s lost the stream", t.grant.Engine)
+		}
+		if engine.Silent(err) {
+			// New connections are silent as well: the engine is frozen.
+			return nil, fault.Wrap(fault.UpstreamLost, err, "engine %s does not answer", t.grant.Engine)
+		}
+		if fault.Is(err, fault.Unreachable) {
+			unreachable++
+		}
+		pause(ctx, jitter(retryPause))
+	}
+	// A closed connection followed by refused ones is a dead process. A silent
+	// one is more likely a network failure, for which no prompt is to blame.
+	t.crashed = unreachable == resumeTries && !engine.Silent(lost)
+	return nil, fault.Wrap(fault.UpstreamLost, lost, "engine %s was lost", t.grant.Engine)
+}
+
+// pump passes frames on until the stream ends. Done is true after the last
+// frame.
+func (t *transfer) pump(reader *engine.Reader) (done bool, err error) {
+	for {
+		f, err := reader.Next()
+		if err != nil {
+			return false, err
+		}
+		if f.Attempt != t.call.attempts || f.Seq < t.next {
+			continue
+		}
+		if f.Seq > t.next {
+			return false, fault.New(fault.UpstreamLost, "frame %d is missing", t.next)
+		}
+		t.next++
+		if f.Error != "" {
+			t.held = false
+			return false, fault.New(fault.UpstreamFailed, "engine %s: %s", t.grant.Engine, f.Error)
+		}
+		if f.Text != "" {
+			if err := t.deliver(f.Text); err != nil {
+				return false, err
+			}
+		}
+		if f.Done {
+			t.held = false
+			return true, t.finish(f)
+		}
+	}
+}
+
+// deliver passes a piece on. A piece that an earlier attempt already passed on
+// is compared instead: an answer continues only if it is the same answer.
+func (t *transfer) deliver(piece string) error {
+	c := t.call
+	if t.piece < len(c.pieces) {
+		if c.pieces[t.piece] != piece {
+			return fault.New(fault.UpstreamFailed, "the engine was lost and the answer could not be continued")
+		}
+		t.piece++
+		return nil
+	}
+	if err := t.out.text(piece); err != nil {
+		return err
+	}
+	if c.firstPiece.IsZero() {
+		c.firstPiece = time.Now()
+	}
+	c.pieces = append(c.pieces, piece)
+	t.piece++
+	return nil
+}
+
+// finish ends the answer with the engine's usage figures.
+func (t *transfer) finish(f engine.Frame) error {
+	c := t.call
+	if t.piece < len(c.pieces) {
+		return fault.New(fault.UpstreamFailed, "the engine was lost and the answer could not be continued")
+	}
+	c.used = usage{
+		PromptTokens: f.PromptTokens, CompletionTokens: f.CompletionTokens,
+		TotalTokens: f.PromptTokens + f.CompletionTokens,
+		Details:     &usageDetails{CachedTokens: f.CachedTokens},
+	}
+	c.server.tokens.observe(c.model, len(c.prompt), f.PromptTokens)
+	return t.out.finish(f.FinishReason, c.used)
+}
+
+// cleanUp cancels the stream if the engine may still hold it.
+func (t *transfer) cleanUp(ctx context.Context) {
+	if !t.held {
+		return
+	}
+	t.call.background(ctx, "cancel stream", func(ctx context.Context) {
+		if err := t.call.server.options.Engines.Cancel(ctx, t.grant.Address, t.grant.ID); err != nil {
+			t.call.log("cancel_failed").WithError(err).WithField("engine", t.grant.Engine).
+				Debug("a stream was not canceled; the engine frees it when its reader is gone")
+		}
+	})
+}
