Schedule one cell first come, first served

Adds the scheduler with all its methods: memory admission that counts prompt and answer tokens, placement by the reported number of streams, pinning of fingerprints, requests that run alone, expiry of grants, adoption of renewed grants after a takeover and cancelling of orphaned streams.

--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -47,6 +47,8 @@
 	Address     string   `json:"address"`
 	Members     []string `json:"members,omitempty"`
 	Reservation string   `json:"reservation,omitempty"`
+	// Shares are the tokens booked on Engine and then on each of Members.
+	Shares []int `json:"shares,omitempty"`
 	// Priority for the engine; 0 is the highest.
 	Priority int `json:"priority"`
 	// Lifetime is how long the grant lasts without renewal.
@@ -72,6 +74,12 @@
 	Organisation string `json:"organisation"`
 	Fingerprint  string `json:"fingerprint"`
 	Tokens       int    `json:"tokens"`
+	Attempt      int    `json:"attempt,omitempty"`
+	Alone        bool   `json:"alone,omitempty"`
+	// Members, Reservation and Shares repeat the fields of the grant.
+	Members     []string `json:"members,omitempty"`
+	Reservation string   `json:"reservation,omitempty"`
+	Shares      []int    `json:"shares,omitempty"`
 }
 
 // Renewal extends all grants of one entry node in one cell.
--- /dev/null
+++ b/internal/sched/run.go
@@ -0,0 +1,261 @@
+package sched
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/verbenapier/verbenapier/internal/engine"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// expiryInterval is the longest time between two checks for expired grants.
+const expiryInterval = 250 * time.Millisecond
+
+// job is a call to an engine that Run makes outside the scheduler's lock.
+type job func(ctx context.Context, s *Scheduler)
+
+func unreserveJob(address, id string) job {
+	return func(ctx context.Context, s *Scheduler) {
+		if err := s.opts.Engines.Unreserve(ctx, address, id); err != nil {
+			// The reservation has a time to live and ends by itself.
+			s.opts.Log.WithField("address", address).WithError(err).Warn("unreserve_failed")
+		}
+	}
+}
+
+// Run expires grants, makes the calls to engines and cancels orphaned streams
+// until ctx ends. Waiting requests are then refused as NotOwner.
+func (s *Scheduler) Run(ctx context.Context) error {
+	g := group.New(ctx)
+	g.Go("streams", s.watchStreams)
+	g.Go("tick", func(ctx context.Context) error {
+		for {
+			s.mu.Lock()
+			s.tick(time.Now())
+			jobs := s.takeJobs()
+			s.mu.Unlock()
+			for _, j := range jobs {
+				g.Go("job", func(ctx context.Context) error {
+					ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+					defer cancel()
+					j(ctx, s)
+					return nil
+				})
+			}
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-s.wake:
+			case <-time.After(expiryInterval):
+			}
+		}
+	})
+	err := g.Wait()
+	s.stop()
+	return err
+}
+
+func (s *Scheduler) takeJobs() []job {
+	jobs := s.jobs
+	s.jobs = nil
+	return jobs
+}
+
+// stop refuses everything that waits.
+func (s *Scheduler) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	for _, t := range s.tickets {
+		s.refuse(t, fault.New(fault.NotOwner, "this node no longer schedules cell %s", s.opts.Cell))
+	}
+}
+
+// tick expires grants and grants what time made possible.
+func (s *Scheduler) tick(now time.Time) {
+	for _, g := range sortedGrants(s.grants) {
+		switch {
+		case now.Before(g.expires):
+		case !g.lapsed:
+			g.lapsed = true
+			s.opts.Log.WithField("grant", g.id).Info("grant_lapsed")
+		case now.After(g.expires.Add(s.opts.Lifetime)):
+			s.unbook(g, now)
+		}
+	}
+	for id, at := range s.ended {
+		if now.Sub(at) > s.opts.Lifetime {
+			delete(s.ended, id)
+		}
+	}
+	s.pump(now)
+}
+
+func (s *Scheduler) watchStreams(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		slots := slices.Clone(s.slots)
+		s.mu.Unlock()
+		g := group.New(ctx)
+		for _, e := range slots {
+			g.Go("streams", func(ctx context.Context) error {
+				s.checkStreams(ctx, e)
+				return nil
+			})
+		}
+		if err := g.Wait(); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(s.opts.OrphanInterval):
+		}
+	}
+}
+
+// checkStreams compares an engine's streams with the books: lapsed grants
+// without a stream are freed and orphaned streams cancelled.
+func (s *Scheduler) checkStreams(ctx context.Context, e *slot) {
+	listed := time.Now()
+	streams, err := s.listStreams(ctx, e)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	orphans := s.compare(e, streams, listed)
+	s.mu.Unlock()
+	if len(orphans) == 0 {
+		return
+	}
+	// A reader may have come back since the first list.
+	if streams, err = s.listStreams(ctx, e); err != nil {
+		return
+	}
+	s.mu.Lock()
+	still := s.compare(e, streams, listed)
+	s.mu.Unlock()
+	for _, id := range still {
+		if !slices.Contains(orphans, id) {
+			continue
+		}
+		s.opts.Log.WithField("engine", e.name).WithField("stream", id).Info("orphan_cancelled")
+		cancelCtx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+		if err := s.opts.Engines.Cancel(cancelCtx, e.address, id); err != nil {
+			s.opts.Log.WithField("engine", e.name).WithError(err).Warn("cancel_failed")
+		}
+		cancel()
+	}
+}
+
+func (s *Scheduler) listStreams(ctx context.Context, e *slot) ([]engine.Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
+	defer cancel()
+	streams, err := s.opts.Engines.Streams(ctx, e.address)
+	if err != nil {
+		s.opts.Log.WithField("engine", e.name).WithError(err).Debug("streams_failed")
+	}
+	return streams, err
+}
+
+// compare frees lapsed grants whose stream is gone and returns the ids of
+// orphaned streams. None are named before the rebuild window has passed.
+func (s *Scheduler) compare(e *slot, streams []engine.Stream, listed time.Time) []string {
+	now := time.Now()
+	var orphans []string
+	alive := map[*grant]bool{}
+	for _, st := range streams {
+		g := matching(e, st)
+		if g != nil && !g.lapsed {
+			continue
+		}
+		if g != nil {
+			alive[g] = true
+		}
+		detached := time.Duration(st.DetachedMillis) * time.Millisecond
+		if !st.Attached && detached >= s.opts.OrphanAge && now.After(s.rebuilt) {
+			orphans = append(orphans, st.ID)
+		}
+	}
+	for _, g := range sortedGrants(e.grants) {
+		if g.lapsed && !alive[g] && g.leader() == e && g.expires.Before(listed) {
+			s.unbook(g, now)
+		}
+	}
+	s.pump(now)
+	return orphans
+}
+
+func matching(e *slot, st engine.Stream) *grant {
+	for _, g := range e.grants {
+		if g.matches(st.ID) || g.matches(st.Reservation) {
+			return g
+		}
+	}
+	return nil
+}
+
+// adopt books a grant that an earlier owner of the cell made.
+func (s *Scheduler) adopt(entry string, h Held, now time.Time) (*grant, bool) {
+	e, ok := s.byName[h.Engine]
+	if _, ended := s.ended[h.ID]; ended || !ok || h.ID == "" {
+		return nil, false
+	}
+	if p, ok := s.pins[h.Fingerprint]; ok && h.Fingerprint != "" && p.slot != e {
+		return nil, false
+	}
+	g := &grant{
+		id: h.ID, request: requestKey{h.RequestID, h.Attempt}, entry: entry, org: h.Organisation,
+		fingerprint: h.Fingerprint, alone: h.Alone, reservation: h.Reservation, work: float64(h.Tokens),
+		prompt: h.Tokens, granted: now, expires: now.Add(s.opts.Lifetime),
+	}
+	g.shares = s.heldShares(e, h)
+	for _, sh := range g.shares {
+		if sh.slot.exclusive != nil || h.Alone && len(sh.slot.grants) > 0 {
+			return nil, false
+		}
+		if sh.slot.reported && sh.slot.capacity-sh.slot.reserved < sh.tokens {
+			return nil, false
+		}
+	}
+	for _, sh := range g.shares {
+		// The stream is in the reported use already.
+		sh.slot.foreign = max(0, sh.slot.foreign-sh.tokens)
+	}
+	s.book(g)
+	g.wire = Grant{
+		ID: g.id, Cell: s.opts.Cell, Owner: s.opts.Owner, Engine: e.name, Address: e.address,
+		Members: h.Members, Reservation: h.Reservation, Shares: h.Shares, Lifetime: s.opts.Lifetime,
+	}
+	s.opts.Log.WithField("grant", h.ID).Info("grant_adopted")
+	return g, true
+}
+
+func (s *Scheduler) heldShares(e *slot, h Held) []share {
+	if len(h.Shares) != len(h.Members)+1 {
+		return []share{{e, h.Tokens}}
+	}
+	shares := []share{{e, h.Shares[0]}}
+	for i, address := range h.Members {
+		for _, m := range s.slots {
+			if m.address == address {
+				shares = append(shares, share{m, h.Shares[i+1]})
+			}
+		}
+	}
+	return shares
+}
+
+// sortedGrants returns the grants in order of id, so that runs with the same
+// seed are equal.
+func sortedGrants(m map[string]*grant) []*grant {
+	out := make([]*grant, 0, len(m))
+	for _, g := range m {
+		out = append(out, g)
+	}
+	slices.SortFunc(out, func(a, b *grant) int { return cmp.Compare(a.id, b.id) })
+	return out
+}
