Add an in-memory network and platform for tests

Packages that talk to peers or to the platform need delay, loss, cuts, pauses, outages and lost replies in virtual time. Loss and jitter are drawn per direction from the seed, so the interleaving of other links does not change them. Test: go test -race ./internal/netem passes.

--- /dev/null
+++ b/internal/netem/client.go
@@ -0,0 +1,259 @@
+package netem
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/verbenapier/verbenapier/internal/plat"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// Client is a node's access to a Store.
+type Client struct {
+	store *Store
+	node  *Endpoint
+
+	mu     sync.Mutex
+	random *rand.Rand
+	cut    bool
+	calls  Calls
+}
+
+var (
+	_ plat.Store      = (*Client)(nil)
+	_ plat.HostLister = (*Client)(nil)
+)
+
+// SetCut separates only this client from the platform.
+func (c *Client) SetCut(cut bool) {
+	c.mu.Lock()
+	c.cut = cut
+	c.mu.Unlock()
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.store.wake()
+}
+
+// Calls returns the calls of this client so far.
+func (c *Client) Calls() Calls {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+// Get returns the entry of a key, or NotFound.
+func (c *Client) Get(ctx context.Context, key string) (plat.Entry, error) {
+	var entry plat.Entry
+	err := c.read(ctx, func(n *Calls) { n.Get++ }, func() error {
+		var ok bool
+		if entry, ok = c.store.entries[key]; !ok {
+			return fault.New(fault.NotFound, "no key %s", key)
+		}
+		entry.Value = slices.Clone(entry.Value)
+		return nil
+	})
+	return entry, err
+}
+
+// List returns the entries under prefix in key order.
+func (c *Client) List(ctx context.Context, prefix string) ([]plat.Entry, error) {
+	var entries []plat.Entry
+	err := c.read(ctx, func(n *Calls) { n.List++ }, func() error {
+		for key, entry := range c.store.entries {
+			if strings.HasPrefix(key, prefix) {
+				entry.Value = slices.Clone(entry.Value)
+				entries = append(entries, entry)
+			}
+		}
+		return nil
+	})
+	slices.SortFunc(entries, func(a, b plat.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return entries, err
+}
+
+// Hosts returns the list of hosts.
+func (c *Client) Hosts(ctx context.Context) ([]plat.Host, error) {
+	var hosts []plat.Host
+	err := c.read(ctx, func(n *Calls) { n.Hosts++ }, func() error {
+		hosts = slices.Clone(c.store.hosts)
+		return nil
+	})
+	return hosts, err
+}
+
+// Put replaces a value by compare-and-swap.
+func (c *Client) Put(ctx context.Context, key string, value []byte, base plat.Revision) (plat.Revision, error) {
+	var revision plat.Revision
+	err := c.write(ctx, func(n *Calls) { n.Put++ }, func() (err error) {
+		revision, err = c.store.put(key, value, base)
+		return err
+	})
+	return revision, err
+}
+
+// Delete removes a key by compare-and-swap.
+func (c *Client) Delete(ctx context.Context, key string, base plat.Revision) error {
+	return c.write(ctx, func(n *Calls) { n.Delete++ }, func() error {
+		return c.store.delete(key, base)
+	})
+}
+
+// Watch waits for a revision above after under prefix, at most 30 s.
+func (c *Client) Watch(ctx context.Context, prefix string, after plat.Revision) (plat.Revision, error) {
+	if err := c.begin(ctx, func(n *Calls) { n.Watch++ }); err != nil {
+		return 0, err
+	}
+	s := c.store
+	s.mu.Lock()
+	s.waiting++
+	s.mu.Unlock()
+	top, err := c.wait(ctx, prefix, after)
+	s.mu.Lock()
+	s.waiting--
+	s.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	return top, c.end(ctx)
+}
+
+func (c *Client) wait(ctx context.Context, prefix string, after plat.Revision) (plat.Revision, error) {
+	timer := time.NewTimer(maxWait)
+	defer timer.Stop()
+	for {
+		if err := c.reachable(ctx); err != nil {
+			return 0, err
+		}
+		c.store.mu.Lock()
+		top, changed := c.store.highest(prefix), c.store.changed
+		c.store.mu.Unlock()
+		if top > after {
+			return top, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return top, nil
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func (c *Client) read(ctx context.Context, count func(*Calls), effect func() error) error {
+	if err := c.begin(ctx, count); err != nil {
+		return err
+	}
+	c.store.mu.Lock()
+	result := effect()
+	c.store.mu.Unlock()
+	if err := c.end(ctx); err != nil {
+		return err
+	}
+	return result
+}
+
+// write applies the effect. A write whose context ends on the way to the
+// platform may still take effect.
+func (c *Client) write(ctx context.Context, count func(*Calls), effect func() error) error {
+	sent := true
+	err := c.begin(ctx, count)
+	if err != nil {
+		if fault.Is(err, fault.PlatformDown) || !c.chance(0.5) {
+			sent = false
+		}
+		if c.reachable(ctx) != nil {
+			sent = false
+		}
+	}
+	var result error
+	if sent {
+		c.store.mu.Lock()
+		result = effect()
+		c.store.mu.Unlock()
+	}
+	if err != nil {
+		if fault.Is(err, fault.PlatformDown) {
+			return err
+		}
+		return fault.Wrap(fault.ReplyLost, err, "write abandoned")
+	}
+	c.store.mu.Lock()
+	loss := c.store.loss
+	c.store.mu.Unlock()
+	if c.end(ctx) != nil || c.chance(loss) {
+		return fault.New(fault.ReplyLost, "reply of the platform lost")
+	}
+	return result
+}
+
+// begin counts the call and carries it to the platform.
+func (c *Client) begin(ctx context.Context, count func(*Calls)) error {
+	if err := c.gate(); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	count(&c.calls)
+	c.mu.Unlock()
+	c.store.mu.Lock()
+	count(&c.store.calls)
+	latency := c.store.latency
+	c.store.mu.Unlock()
+	if err := sleep(ctx, latency/2); err != nil {
+		return err
+	}
+	return c.reachable(ctx)
+}
+
+// end carries the answer back.
+func (c *Client) end(ctx context.Context) error {
+	c.store.mu.Lock()
+	latency := c.store.latency
+	c.store.mu.Unlock()
+	err := sleep(ctx, latency/2)
+	if gated := c.gate(); gated != nil {
+		return gated
+	}
+	return err
+}
+
+// reachable returns PlatformDown when the platform refuses the call. It
+// blocks while the platform is silent.
+func (c *Client) reachable(ctx context.Context) error {
+	for {
+		c.mu.Lock()
+		cut := c.cut
+		c.mu.Unlock()
+		c.store.mu.Lock()
+		mode, changed := c.store.mode, c.store.changed
+		c.store.mu.Unlock()
+		switch {
+		case mode == Down || cut:
+			return fault.New(fault.PlatformDown, "platform down")
+		case mode == Up:
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fault.Wrap(fault.PlatformDown, ctx.Err(), "platform silent")
+		}
+	}
+}
+
+func (c *Client) gate() error {
+	if c.node == nil {
+		return nil
+	}
+	return c.node.gate()
+}
+
+func (c *Client) chance(p float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64() < p
+}
--- /dev/null
+++ b/internal/netem/netem_test.go
@@ -0,0 +1,116 @@
+package netem
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/internal/plat"
+	"github.com/verbenapier/verbenapier/internal/wire"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+func call(t *testing.T, from *Endpoint, address string) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	var got string
+	err := from.Call(ctx, address, "echo", "hello", &got)
+	if err == nil {
+		require.Equal(t, "hello", got)
+	}
+	return err
+}
+
+// Guards against a fault that is not seen by the calls it should affect, or
+// that has an effect after it was removed.
+func TestNetworkFaults(t *testing.T) {
+	type faultCase struct {
+		set, unset func(*Network)
+		kind       fault.Kind
+		handled    bool
+	}
+	cases := map[string]faultCase{
+		"request cut": {func(n *Network) { n.Cut("a", "b") }, (*Network).Heal, fault.Timeout, false},
+		"reply cut":   {func(n *Network) { n.Cut("b", "a") }, (*Network).Heal, fault.Timeout, true},
+		"paused":      {func(n *Network) { n.Pause("b") }, func(n *Network) { n.Resume("b") }, fault.Timeout, true},
+		"loss": {
+			func(n *Network) { n.SetBase(Link{Loss: 1}) },
+			func(n *Network) { n.SetBase(Link{}) }, fault.Timeout, false,
+		},
+		"killed": {func(n *Network) { n.Kill("b") }, func(n *Network) {}, fault.Unreachable, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := New(1, Link{Delay: time.Millisecond})
+				handled := 0
+				mux := wire.NewMux()
+				mux.Handle("echo", wire.Typed(func(_ context.Context, from string, s string) (string, error) {
+					require.Equal(t, "a", from)
+					handled++
+					return s, nil
+				}))
+				a := n.Attach("a", "a:1", wire.NewMux())
+				n.Attach("b", "b:1", mux)
+				require.NoError(t, call(t, a, "b:1"))
+				require.Equal(t, Traffic{1, 1, int64(len("echo") + 7 + headerSize), 7 + headerSize}, a.Traffic())
+				tc.set(n)
+				require.Equal(t, tc.kind, fault.KindOf(call(t, a, "b:1")))
+				tc.unset(n)
+				synctest.Wait()
+				require.Equal(t, tc.handled, handled == 2)
+				if name != "killed" {
+					require.NoError(t, call(t, a, "b:1"))
+				}
+				require.NoError(t, n.Close())
+			})
+		})
+	}
+}
+
+// Guards against a platform that breaks compare-and-swap, forgets a watch or
+// hides the effect of a write whose reply was lost.
+func TestStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		s := NewStore(1)
+		s.SetLatency(2 * time.Millisecond)
+		c := s.Client(nil)
+		first, err := c.Put(ctx, "k/1", []byte("x"), 0)
+		require.NoError(t, err)
+		_, err = c.Put(ctx, "k/1", []byte("y"), 0)
+		require.True(t, fault.Is(err, fault.Conflict))
+		require.True(t, fault.Is(c.Delete(ctx, "k/1", first+1), fault.Conflict))
+
+		g := group.New(ctx)
+		var seen plat.Revision
+		g.Go("watch", func(ctx context.Context) (err error) { seen, err = c.Watch(ctx, "k/", first); return err })
+		synctest.Wait()
+		time.Sleep(time.Second)
+		require.Equal(t, 1, s.Waiting())
+		s.SetReplyLoss(1)
+		_, err = c.Put(ctx, "k/2", []byte("z"), 0)
+		require.True(t, fault.Is(err, fault.ReplyLost))
+		require.NoError(t, g.Wait())
+		require.Equal(t, first+1, seen)
+		entries, err := c.List(ctx, "k/")
+		require.NoError(t, err)
+		require.Len(t, entries, 2)
+		require.Equal(t, Calls{List: 1, Put: 3, Delete: 1, Watch: 1}, s.Calls())
+
+		s.SetMode(Down)
+		_, err = c.Get(ctx, "k/1")
+		require.True(t, fault.Is(err, fault.PlatformDown))
+		s.SetMode(Silent)
+		limited, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		_, err = c.Put(limited, "k/3", nil, 0)
+		require.True(t, fault.Is(err, fault.PlatformDown))
+		require.Equal(t, []string{"k/1", "k/2"}, s.Keys("k/"))
+	})
+}
--- /dev/null
+++ b/internal/netem/network.go
@@ -0,0 +1,256 @@
+// Package netem is an in-memory network and platform for tests. It implements
+// wire.Caller, plat.Store and plat.HostLister with delay, loss, cuts, pauses
+// and outages, and it runs inside testing/synctest.
+package netem
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/verbenapier/verbenapier/internal/wire"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// Link describes one direction between two nodes.
+type Link struct {
+	// Delay is the one-way latency; Jitter is added to it, evenly
+	// distributed from zero.
+	Delay, Jitter time.Duration
+	// Loss is the probability, from 0 to 1, that a message is lost. The
+	// sender of a lost message waits until its deadline.
+	Loss float64
+}
+
+// Network connects endpoints. Its faults are set by node name.
+type Network struct {
+	seed   uint64
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	all    []*Endpoint
+	base   Link
+	links  map[pair]Link
+	cuts   map[pair]bool
+	random map[pair]*rand.Rand
+	byName map[string]*Endpoint
+	byAddr map[string]*Endpoint
+}
+
+type pair struct{ from, to string }
+
+// New returns a network on which every direction has the properties of base.
+// Losses and jitter of each direction are drawn from the seed alone, so the
+// interleaving of other directions does not change them.
+func New(seed uint64, base Link) *Network {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Network{
+		seed:   seed,
+		ctx:    ctx,
+		cancel: cancel,
+		base:   base,
+		links:  map[pair]Link{},
+		cuts:   map[pair]bool{},
+		random: map[pair]*rand.Rand{},
+		byName: map[string]*Endpoint{},
+		byAddr: map[string]*Endpoint{},
+	}
+}
+
+// Attach connects a node and returns its endpoint. A node of the same name or
+// address is replaced and counts as killed, as after a restart.
+func (n *Network) Attach(name, address string, mux *wire.Mux) *Endpoint {
+	e := &Endpoint{name: name, address: address, network: n, mux: mux, awake: closed()}
+	e.group = group.New(n.ctx)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, old := range []*Endpoint{n.byName[name], n.byAddr[address]} {
+		if old != nil {
+			old.group.Stop()
+		}
+	}
+	n.byName[name], n.byAddr[address] = e, e
+	n.all = append(n.all, e)
+	return e
+}
+
+// Close kills every node and waits for their handlers.
+func (n *Network) Close() error {
+	n.cancel()
+	n.mu.Lock()
+	all := slices.Clone(n.all)
+	n.mu.Unlock()
+	errs := make([]error, 0, len(all))
+	for _, e := range all {
+		errs = append(errs, e.group.Wait())
+	}
+	return errors.Join(errs...)
+}
+
+// Kill ends a node: its calls fail, calls to it are Unreachable and the calls
+// it was handling are ReplyLost.
+func (n *Network) Kill(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if e := n.byName[name]; e != nil {
+		e.group.Stop()
+	}
+}
+
+// Pause freezes a node at its next call, reply or incoming message, until
+// Resume. Code of the node that uses neither network nor platform goes on.
+func (n *Network) Pause(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if e := n.byName[name]; e != nil {
+		e.pause()
+	}
+}
+
+// Resume wakes a paused node. Messages that arrived meanwhile are handled,
+// even when their senders have given up.
+func (n *Network) Resume(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if e := n.byName[name]; e != nil {
+		e.resume()
+	}
+}
+
+// SetLink sets the properties of one direction.
+func (n *Network) SetLink(from, to string, link Link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[pair{from, to}] = link
+}
+
+// SetBase sets the properties of the directions without a SetLink.
+func (n *Network) SetBase(link Link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.base = link
+}
+
+// Cut drops everything sent in one direction, replies included.
+func (n *Network) Cut(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[pair{from, to}] = true
+}
+
+// CutBoth drops everything between two nodes.
+func (n *Network) CutBoth(a, b string) {
+	n.Cut(a, b)
+	n.Cut(b, a)
+}
+
+// Partition drops everything between nodes of different groups.
+func (n *Network) Partition(groups ...[]string) {
+	for i, one := range groups {
+		for _, other := range groups[i+1:] {
+			for _, a := range one {
+				for _, b := range other {
+					n.CutBoth(a, b)
+				}
+			}
+		}
+	}
+}
+
+// Restore removes the cut of one direction.
+func (n *Network) Restore(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cuts, pair{from, to})
+}
+
+// Heal removes all cuts.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cuts)
+}
+
+// Connected reports whether both nodes live, neither is paused, and both
+// directions between them are open.
+func (n *Network) Connected(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, name := range []string{a, b} {
+		e := n.byName[name]
+		if e == nil || e.group.Context().Err() != nil || e.paused() {
+			return false
+		}
+	}
+	return !n.cuts[pair{a, b}] && !n.cuts[pair{b, a}]
+}
+
+// transit draws the delay of one message and whether it is lost.
+func (n *Network) transit(from, to string) (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	key := pair{from, to}
+	link, ok := n.links[key]
+	if !ok {
+		link = n.base
+	}
+	r := n.random[key]
+	if r == nil {
+		r = rand.New(rand.NewPCG(n.seed, xxhash.Sum64String(from+"\x00"+to)))
+		n.random[key] = r
+	}
+	delay := link.Delay
+	if link.Jitter > 0 {
+		delay += time.Duration(r.Int64N(int64(link.Jitter)))
+	}
+	lost := r.Float64() < link.Loss
+	return delay, lost || n.cuts[key]
+}
+
+// nameAt returns the name to which an address belongs, or the address itself
+// when no node has ever had it.
+func (n *Network) nameAt(address string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if e := n.byAddr[address]; e != nil {
+		return e.name
+	}
+	return address
+}
+
+func (n *Network) lookup(address string) (*Endpoint, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	e := n.byAddr[address]
+	if e == nil || e.group.Context().Err() != nil {
+		return nil, fault.New(fault.Unreachable, "no node listens at %s", address)
+	}
+	return e, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func closed() chan struct{} {
+	ch := make(chan struct{})
+	close(ch)
+	return ch
+}
