Read the daemon's settings from one table of keys

Messages hide private keys and quote no input in syntax errors. Unknown variables with the prefix VERBENAPIER_ are refused unless a setting names them.

--- /dev/null
+++ b/internal/params/load.go
@@ -0,0 +1,180 @@
+package params
+
+import (
+	"io"
+	"net/netip"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/verbenapier/verbenapier/pkg/confd/strict"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+const (
+	// EnvPrefix starts the name of an environment variable that overrides a
+	// setting: VERBENAPIER_TLS_KEY overrides tls.key.
+	EnvPrefix = "VERBENAPIER_"
+	// environment is the file name in problems with environment variables.
+	environment = "environment"
+	envScheme   = "env:"
+	fileScheme  = "file:"
+)
+
+// Read loads the settings from a file, or from standard input when path is
+// "-". A file that cannot be read is NotFound; see Load for other errors.
+func Read(path string) (Settings, error) {
+	if path == "-" {
+		data, err := io.ReadAll(io.LimitReader(os.Stdin, strict.MaxSize+1))
+		if err != nil {
+			return Settings{}, fault.Wrap(fault.Internal, err, "read settings from standard input")
+		}
+		return Load("standard input", data)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fault.Wrap(fault.NotFound, err, "read settings")
+	}
+	return Load(path, data)
+}
+
+// Load returns the settings in data, with defaults for absent keys and
+// overrides from the environment. The name appears in errors. Errors are
+// Invalid and wrap strict.Problems, which lists every problem.
+func Load(name string, data []byte) (Settings, error) {
+	source, err := strict.Read(name, data)
+	if err != nil {
+		return Settings{}, err
+	}
+	var s Settings
+	rules := strict.Rules{}
+	table := Table()
+	for _, e := range table {
+		rules[e.Key] = e.Rule
+		if e.Default != nil {
+			field(&s, e.Key).Set(reflect.ValueOf(e.Default))
+		}
+	}
+	source.Decode(&s, rules)
+	override(source, &s, table)
+	source.Check(&s, rules)
+	s.derive(source)
+	s.checkTLS(source)
+	if err := source.Err(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// field returns the field of a key.
+func field(s *Settings, key string) reflect.Value {
+	v := reflect.ValueOf(s).Elem()
+	for part := range strings.SplitSeq(key, ".") {
+		for i := range v.NumField() {
+			if v.Type().Field(i).Tag.Get("json") == part {
+				v = v.Field(i)
+				break
+			}
+		}
+	}
+	return v
+}
+
+// Variable returns the environment variable that overrides a key.
+func Variable(key string) string {
+	return EnvPrefix + strings.ToUpper(strings.ReplaceAll(key, ".", "_"))
+}
+
+func override(source *strict.Source, s *Settings, table []Entry) {
+	known := map[string]Entry{}
+	for _, e := range table {
+		known[Variable(e.Key)] = e
+	}
+	var unknown []string
+	for _, pair := range os.Environ() {
+		variable, text, _ := strings.Cut(pair, "=")
+		e, ok := known[variable]
+		if !ok {
+			if strings.HasPrefix(variable, EnvPrefix) {
+				unknown = append(unknown, variable)
+			}
+			continue
+		}
+		target := field(s, e.Key)
+		parsed := reflect.New(target.Type()).Elem()
+		if strict.SetText(text, parsed) != nil || (e.Rule.Check != nil && !e.Rule.Check(parsed)) {
+			text = strconv.Quote(text)
+			if e.Rule.Secret {
+				text = strict.Hidden
+			}
+			source.AddIn(environment, variable, text, e.Rule.Allowed)
+			continue
+		}
+		target.Set(parsed)
+	}
+	referred := []string{s.TLS.CA, s.TLS.Certificate, s.TLS.Key, s.CallerTLS.Certificate, s.CallerTLS.Key}
+	for _, variable := range unknown {
+		used := false
+		for _, r := range referred {
+			used = used || r == envScheme+variable
+		}
+		if !used {
+			source.AddIn(environment, variable, "an unknown variable", "variables of settings, and those that a setting names with env:")
+		}
+	}
+}
+
+// derive fills the advertised addresses from the listening ones.
+func (s *Settings) derive(source *strict.Source) {
+	for _, a := range []struct {
+		key, listenKey, listen string
+		advertise              *string
+	}{
+		{"advertise", "listen", s.Listen, &s.Advertise},
+		{"peer_advertise", "peer_listen", s.PeerListen, &s.PeerAdvertise},
+	} {
+		listen, err := netip.ParseAddrPort(a.listen)
+		if err != nil || source.Bad(a.key) || source.Bad(a.listenKey) {
+			continue
+		}
+		if *a.advertise == "" && listen.Addr().IsUnspecified() {
+			source.Report([]string{a.key}, nil, "an IP address, because "+a.listenKey+" names no single one")
+			continue
+		}
+		if *a.advertise == "" {
+			*a.advertise = listen.String()
+		}
+		if ip, err := netip.ParseAddr(*a.advertise); err == nil {
+			*a.advertise = netip.AddrPortFrom(ip, listen.Port()).String()
+		}
+	}
+}
+
+// checkTLS checks the settings that depend on each other for security.
+func (s *Settings) checkTLS(source *strict.Source) {
+	if (s.CallerTLS.Certificate == "") != (s.CallerTLS.Key == "") {
+		missing := "key"
+		if s.CallerTLS.Certificate == "" {
+			missing = "certificate"
+		}
+		source.Report([]string{"caller_tls", missing}, nil, "a certificate together with its key, or neither")
+	}
+	if !s.Insecure {
+		for key, value := range map[string]string{"ca": s.TLS.CA, "certificate": s.TLS.Certificate, "key": s.TLS.Key} {
+			if value == "" && !source.Bad("tls", key) {
+				source.Report([]string{"tls", key}, nil, material().Allowed+", unless insecure is true")
+			}
+		}
+		return
+	}
+	for key, value := range map[string]string{
+		"listen": s.Listen, "peer_listen": s.PeerListen, "admin_listen": s.AdminListen,
+		"advertise": s.Advertise, "peer_advertise": s.PeerAdvertise,
+	} {
+		a, err := netip.ParseAddrPort(value)
+		if err == nil && !a.Addr().IsLoopback() {
+			source.Report([]string{key}, value, "a loopback address such as 127.0.0.1:8080, because insecure is true")
+		}
+	}
+}
--- /dev/null
+++ b/internal/params/settings.go
@@ -0,0 +1,57 @@
+// Package params holds the settings of the daemon: one table of keys with
+// their defaults and validators, read from JSON with comments and from the
+// environment.
+package params
+
+import "time"
+
+// Settings are the settings of verbenapierd.
+type Settings struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	// Listen, PeerListen and AdminListen are the addresses and ports for
+	// callers, for other daemons and for operators.
+	Listen      string `json:"listen"`
+	PeerListen  string `json:"peer_listen"`
+	AdminListen string `json:"admin_listen"`
+	// Advertise and PeerAdvertise are the IP addresses and ports told to
+	// callers and to other daemons. After Load both have a port.
+	Advertise     string `json:"advertise"`
+	PeerAdvertise string `json:"peer_advertise"`
+	// Platform lists base URLs of the platform.
+	Platform []string `json:"platform"`
+	// TLS secures the connections of peers and operators.
+	TLS TLS `json:"tls"`
+	// CallerTLS secures the callers' port; without it the port is plain HTTP.
+	CallerTLS CallerTLS `json:"caller_tls"`
+	LogLevel  string    `json:"log_level"`
+	LogFormat string    `json:"log_format"`
+
+	MaxBodyBytes   int           `json:"max_body_bytes"`
+	MaxHeaderBytes int           `json:"max_header_bytes"`
+	ReadTimeout    time.Duration `json:"read_timeout"`
+	IdleTimeout    time.Duration `json:"idle_timeout"`
+	// MaxRequests is the largest number of callers' requests in flight.
+	MaxRequests  int           `json:"max_requests"`
+	DrainTimeout time.Duration `json:"drain_timeout"`
+	// CellEngines is the largest number of engines of a cell.
+	CellEngines int `json:"cell_engines"`
+	// Insecure turns TLS off; every address must then be a loopback address.
+	Insecure bool `json:"insecure"`
+}
+
+// TLS names the certificate authority, certificate and key. Each is PEM text,
+// "file:" and a path, or "env:" and the name of an environment variable.
+type TLS struct {
+	CA          string `json:"ca"`
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
+// CallerTLS names the certificate and key of the callers' port, in the forms
+// of TLS.
+type CallerTLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
--- /dev/null
+++ b/pkg/confd/strict/problem.go
@@ -0,0 +1,67 @@
+// Package strict reads JSON with comments into Go values and reports every
+// problem it finds, each with its line, key, value and what is allowed.
+package strict
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Hidden stands for a value that must not appear in messages.
+const Hidden = "(hidden)"
+
+// maxValueLength is the largest number of bytes of a value in a message.
+const maxValueLength = 80
+
+// Problem is one fault of an input.
+type Problem struct {
+	File string `json:"file,omitempty"`
+	// Line counts from 1; 0 means that the input has no lines.
+	Line int `json:"line,omitempty"`
+	// Key is the path of the value, with dots between its parts.
+	Key string `json:"key"`
+	// Value is the refused value as JSON; empty when the key is missing.
+	Value string `json:"value,omitempty"`
+	// Allowed says which values are accepted.
+	Allowed string `json:"allowed"`
+}
+
+// String returns the problem as one line.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.File != "" {
+		b.WriteString(p.File + ":")
+		if p.Line > 0 {
+			fmt.Fprintf(&b, "%d:", p.Line)
+		}
+		b.WriteString(" ")
+	}
+	if p.Key != "" {
+		b.WriteString(p.Key + ": ")
+	}
+	if p.Value == "" {
+		b.WriteString("missing")
+	} else {
+		b.WriteString(p.Value + " is refused")
+	}
+	return b.String() + "; allowed: " + p.Allowed
+}
+
+// Problems is an error that lists every problem of an input.
+type Problems []Problem
+
+// Error returns one line for each problem.
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+func shorten(s string) string {
+	if len(s) <= maxValueLength {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxValueLength], "") + "..."
+}
--- /dev/null
+++ b/pkg/confd/strict/rule.go
@@ -0,0 +1,115 @@
+package strict
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Rule says which values a key accepts beyond its type.
+type Rule struct {
+	// Allowed describes the accepted values.
+	Allowed string
+	// Check reports whether the value is accepted; nil accepts every value.
+	Check func(v reflect.Value) bool
+	// Secret hides the value in messages.
+	Secret bool
+
+	// The following fields repeat the check in the terms of JSON Schema.
+	// Pattern applies to the value of a string and to the names of a map;
+	// MaxItems to the length of a list.
+	Min, Max    *float64
+	ExclusiveOf bool
+	Enum        []string
+	Pattern     string
+	MaxItems    int
+}
+
+// Rules maps key paths to rules. A part "*" stands for any name of a map and
+// any element of a list.
+type Rules map[string]Rule
+
+// Between accepts numbers from low to high.
+func Between(low, high float64) Rule {
+	return Rule{
+		Allowed: fmt.Sprintf("a number from %s to %s", number(low), number(high)),
+		Check:   func(v reflect.Value) bool { f := numeric(v); return f >= low && f <= high },
+		Min:     &low, Max: &high,
+	}
+}
+
+// Above accepts numbers above low, up to high.
+func Above(low, high float64) Rule {
+	return Rule{
+		Allowed: fmt.Sprintf("a number above %s, up to %s", number(low), number(high)),
+		Check:   func(v reflect.Value) bool { f := numeric(v); return f > low && f <= high },
+		Min:     &low, Max: &high, ExclusiveOf: true,
+	}
+}
+
+// Lasting accepts durations from low to high.
+func Lasting(low, high time.Duration) Rule {
+	return Rule{
+		Allowed: fmt.Sprintf("a duration from %s to %s, such as \"30s\"", Short(low), Short(high)),
+		Check: func(v reflect.Value) bool {
+			return v.Int() >= int64(low) && v.Int() <= int64(high)
+		},
+	}
+}
+
+// OneOf accepts the given strings.
+func OneOf(values ...string) Rule {
+	return Rule{
+		Allowed: strings.Join(values, ", "),
+		Check:   func(v reflect.Value) bool { return slices.Contains(values, v.String()) },
+		Enum:    values,
+	}
+}
+
+// Matching accepts strings that match the regular expression, or maps whose
+// names match it.
+func Matching(pattern, allowed string) Rule {
+	re := regexp.MustCompile(pattern)
+	return Rule{
+		Allowed: allowed,
+		Check:   func(v reflect.Value) bool { return re.MatchString(v.String()) },
+		Pattern: pattern,
+	}
+}
+
+// AtMost accepts lists of up to n elements.
+func AtMost(n int) Rule {
+	return Rule{
+		Allowed:  fmt.Sprintf("a list of at most %d elements", n),
+		Check:    func(v reflect.Value) bool { return v.Len() <= n },
+		MaxItems: n,
+	}
+}
+
+// Short formats a duration without zero parts: "10m" instead of "10m0s".
+func Short(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
+func number(f float64) string {
+	data, _ := json.Marshal(f)
+	return string(data)
+}
+
+func numeric(v reflect.Value) float64 {
+	if v.CanInt() {
+		return float64(v.Int())
+	}
+	return v.Float()
+}
--- /dev/null
+++ b/pkg/confd/strict/source.go
@@ -0,0 +1,270 @@
+package strict
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"regexp"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// Limits of an input. They keep the recursive parser within its stack.
+const (
+	maxDepth = 32
+	// MaxSize is the largest input, in bytes.
+	MaxSize = 64 << 20
+)
+
+// indexedMembers is the object size from which members are found by an index.
+const indexedMembers = 16
+
+// Source is an input and the problems found in it.
+type Source struct {
+	name     string
+	data     []byte
+	root     *hujson.Value
+	lines    []int
+	index    map[*hujson.Object]map[string]int
+	problems Problems
+	// bad holds the paths that already have a problem.
+	bad map[string]bool
+}
+
+// New returns a source without text, for checks of Go values. Its problems
+// have no line.
+func New(name string) *Source {
+	return &Source{name: name, bad: map[string]bool{}, index: map[*hujson.Object]map[string]int{}}
+}
+
+// Read parses JSON with comments. A syntax error is Invalid and wraps
+// Problems with the line.
+func Read(name string, data []byte) (*Source, error) {
+	s := New(name)
+	s.data = data
+	if len(data) > MaxSize {
+		s.Add(0, "", fmt.Sprintf("%d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxSize))
+		return nil, s.Err()
+	}
+	if offset, ok := tooDeep(data); ok {
+		s.Add(s.line(offset), "", "nesting", fmt.Sprintf("at most %d levels", maxDepth))
+		return nil, s.Err()
+	}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		line, text := syntaxError(err)
+		s.Add(line, "", "syntax error ("+text+")", "JSON, with comments and trailing commas")
+		return nil, s.Err()
+	}
+	s.root = &root
+	return s, nil
+}
+
+var syntaxLine = regexp.MustCompile(`^hujson: line (\d+), column \d+: `)
+
+// syntaxError returns the line and the message of a parser error. What the
+// message quotes of the input is left out, because it can be a key.
+func syntaxError(err error) (line int, text string) {
+	text = err.Error()
+	if m := syntaxLine.FindStringSubmatch(text); m != nil {
+		line, _ = strconv.Atoi(m[1])
+		text = text[len(m[0]):]
+	}
+	if i := strings.IndexAny(text, "\"'`:"); i >= 0 {
+		text = strings.TrimSpace(text[:i])
+	}
+	return line, text
+}
+
+// Add records a problem at a line.
+func (s *Source) Add(line int, key, value, allowed string) {
+	s.bad[key] = true
+	s.problems = append(s.problems, Problem{File: s.name, Line: line, Key: key, Value: shorten(value), Allowed: allowed})
+}
+
+// AddIn records a problem of another input than the source's text.
+func (s *Source) AddIn(file, key, value, allowed string) {
+	s.problems = append(s.problems, Problem{File: file, Key: key, Value: shorten(value), Allowed: allowed})
+}
+
+// Report records a problem with the value at a path, at the line of the path
+// or of its nearest parent. A nil value means that the key is missing.
+func (s *Source) Report(path []string, value any, allowed string) {
+	text := ""
+	if value != nil {
+		data, _ := json.Marshal(value)
+		text = string(data)
+	}
+	s.ReportText(path, text, allowed)
+}
+
+// ReportText is Report with the value as text.
+func (s *Source) ReportText(path []string, value, allowed string) {
+	line := 0
+	if s.root != nil {
+		offset, _ := s.find(path)
+		line = s.line(offset)
+	}
+	s.Add(line, strings.Join(path, "."), value, allowed)
+}
+
+// Bad reports whether the path has a problem already.
+func (s *Source) Bad(path ...string) bool { return s.bad[strings.Join(path, ".")] }
+
+// Has reports whether the input holds the path.
+func (s *Source) Has(path ...string) bool {
+	if s.root == nil {
+		return false
+	}
+	_, ok := s.find(path)
+	return ok
+}
+
+// Err returns nil, or an Invalid error that wraps Problems in line order.
+func (s *Source) Err() error {
+	if len(s.problems) == 0 {
+		return nil
+	}
+	sort.SliceStable(s.problems, func(i, j int) bool { return s.problems[i].Line < s.problems[j].Line })
+	noun := "problems"
+	if len(s.problems) == 1 {
+		noun = "problem"
+	}
+	return fault.Wrap(fault.Invalid, s.problems, "%s: %d %s", s.name, len(s.problems), noun)
+}
+
+// ProblemsOf returns the problems that err wraps, or nil.
+func ProblemsOf(err error) Problems {
+	var ps Problems
+	if errors.As(err, &ps) {
+		return ps
+	}
+	return nil
+}
+
+// find returns the offset of the value at a path; when it is absent, that of
+// the nearest parent and false.
+func (s *Source) find(path []string) (offset int, ok bool) {
+	v := s.root
+	offset = v.StartOffset
+	for _, part := range path {
+		switch node := v.Value.(type) {
+		case *hujson.Object:
+			i, ok := s.member(node, part)
+			if !ok {
+				return offset, false
+			}
+			offset = node.Members[i].Name.StartOffset
+			v = &node.Members[i].Value
+		case *hujson.Array:
+			i, err := strconv.Atoi(part)
+			if err != nil || i < 0 || i >= len(node.Elements) {
+				return offset, false
+			}
+			v = &node.Elements[i]
+			offset = v.StartOffset
+		default:
+			return offset, false
+		}
+	}
+	return offset, true
+}
+
+func (s *Source) member(o *hujson.Object, name string) (int, bool) {
+	if len(o.Members) < indexedMembers {
+		i := slices.IndexFunc(o.Members, func(m hujson.ObjectMember) bool { return nameOf(m) == name })
+		return i, i >= 0
+	}
+	names := s.index[o]
+	if names == nil {
+		names = make(map[string]int, len(o.Members))
+		for i, m := range o.Members {
+			if _, ok := names[nameOf(m)]; !ok {
+				names[nameOf(m)] = i
+			}
+		}
+		s.index[o] = names
+	}
+	i, ok := names[name]
+	return i, ok
+}
+
+func nameOf(m hujson.ObjectMember) string {
+	return m.Name.Value.(hujson.Literal).String()
+}
+
+// line returns the line of an offset.
+func (s *Source) line(offset int) int {
+	if s.lines == nil {
+		s.lines = []int{0}
+		for i := 0; i < len(s.data); i++ {
+			next := bytes.IndexByte(s.data[i:], '\n')
+			if next < 0 {
+				break
+			}
+			i += next
+			s.lines = append(s.lines, i+1)
+		}
+	}
+	return sort.SearchInts(s.lines, offset+1)
+}
+
+// tooDeep reports whether brackets outside strings and comments are nested
+// deeper than maxDepth, and where.
+func tooDeep(data []byte) (offset int, found bool) {
+	depth := 0
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '"':
+			for i++; i < len(data) && data[i] != '"'; i++ {
+				if data[i] == '\\' {
+					i++
+				}
+			}
+		case '/':
+			i += commentLength(data[i:])
+		case '{', '[':
+			if depth++; depth > maxDepth {
+				return i, true
+			}
+		case '}', ']':
+			depth--
+		}
+	}
+	return 0, false
+}
+
+// commentLength returns the number of bytes after the first one that belong
+// to the comment at the start of data, or 0.
+func commentLength(data []byte) int {
+	var end int
+	switch {
+	case bytes.HasPrefix(data, []byte("//")):
+		end = bytes.IndexByte(data, '\n')
+	case bytes.HasPrefix(data, []byte("/*")):
+		if end = bytes.Index(data[2:], []byte("*/")); end >= 0 {
+			end += 3
+		}
+	default:
+		return 0
+	}
+	if end < 0 {
+		return len(data)
+	}
+	return end
+}
+
+// Check applies rules to a Go value and reports what they refuse. Values that
+// already have a problem are skipped.
+func (s *Source) Check(v any, rules Rules) {
+	c := checker{source: s, rules: compile(rules)}
+	c.walk(c.rules, nil, reflect.Indirect(reflect.ValueOf(v)))
+}
