Add the stand-ins for engines, plain services and the platform

The product needs something to run against that shares no code with it. vbstand has the commands engine, plain and platform. The engine model is a package without input or output, driven by the runtime clock; HTTP and fault switches are layers around it.

There are no tests yet.

--- /dev/null
+++ b/emul/internal/batch/config.go
@@ -0,0 +1,121 @@
+// Package batch models a language model engine with continuous batching,
+// chunked prefill, limited KV memory and a prefix cache. It does no input or
+// output of its own and uses the runtime clock, so that it also runs inside
+// testing/synctest.
+package batch
+
+import (
+	"context"
+	"time"
+)
+
+// Fixed times of the engine protocol. The time scale does not change them,
+// because the callers of an engine rely on them.
+const (
+	// Keepalive is the interval between keepalive lines while no token is due.
+	Keepalive = time.Second
+	// DetachedTTL is how long a stream without a reader is kept.
+	DetachedTTL = 15 * time.Second
+	// ImportTTL is how long an import is kept without a renewal.
+	ImportTTL = 10 * time.Second
+	// renewInterval is the interval at which a leader renews its imports.
+	renewInterval = 3 * time.Second
+	// memberTimeout bounds one call to a member.
+	memberTimeout = 2 * time.Second
+	// sweepInterval is the resolution of expiry times.
+	sweepInterval = 100 * time.Millisecond
+	// loadRetry is the pause after a failed read of the weight store.
+	loadRetry = time.Second
+)
+
+// Config describes an engine.
+type Config struct {
+	// Name identifies the engine in its load report.
+	Name string
+	// CapacityTokens is the KV memory.
+	CapacityTokens int
+	// PrefillRate is the speed in tokens per second at the start of a prompt.
+	PrefillRate float64
+	// PrefillKnee is the position in tokens at which prefill has half of
+	// PrefillRate; attention makes the cost of a token grow linearly with its
+	// position.
+	PrefillKnee float64
+	// ChunkTokens is the largest prefill work of one step.
+	ChunkTokens int
+	// MaxBatch is the largest number of streams in the batch.
+	MaxBatch int
+	// StepBase, StepPerStream and StepPerContext (for each 1,000 tokens of
+	// context) add up to the time of a decode step.
+	StepBase, StepPerStream, StepPerContext time.Duration
+	// TimeScale multiplies prefill, decode and weight loading times.
+	TimeScale float64
+	// LoadLag is the interval between load reports.
+	LoadLag time.Duration
+	// EventLag delays cache events; EventGap is the share that is never
+	// published.
+	EventLag time.Duration
+	EventGap float64
+	// Seed seeds the choice of lost cache events.
+	Seed uint64
+	// CheckFence makes the engine refuse orders with an old fencing number.
+	CheckFence bool
+	// Models are loaded at the start.
+	Models []Model
+	// Role is reported until an order changes it.
+	Role string
+	// CrashMarker makes a prompt that contains it call Crash; empty for none.
+	CrashMarker string
+	Crash       func()
+	// Weights reads the weights of a model; nil loads in LoadTime.
+	Weights  func(ctx context.Context, model string) error
+	LoadTime time.Duration
+	// Peers reaches the members that hold a part of a stream's KV cache.
+	Peers Peers
+	// Control pauses and slows the engine; nil for neither.
+	Control Control
+}
+
+// Control pauses and slows an engine.
+type Control interface {
+	// Wait blocks while the engine is frozen, and returns an error when ctx
+	// ends.
+	Wait(ctx context.Context) error
+	// Slow is a factor on step times, 1 for normal speed.
+	Slow() float64
+}
+
+// Peers calls the KV interface of other engines.
+type Peers interface {
+	// Import asks a member to hold up to tokens and returns how many it holds.
+	Import(ctx context.Context, address string, req Import) (int, error)
+	// Free releases an import.
+	Free(ctx context.Context, address, id string) error
+}
+
+// DefaultConfig returns an engine of one accelerator.
+func DefaultConfig() Config {
+	return Config{
+		Name:           "engine",
+		CapacityTokens: 480_000,
+		PrefillRate:    40_000,
+		PrefillKnee:    400_000,
+		ChunkTokens:    1024,
+		MaxBatch:       64,
+		StepBase:       20 * time.Millisecond,
+		StepPerStream:  300 * time.Microsecond,
+		StepPerContext: 50 * time.Microsecond,
+		TimeScale:      1,
+		LoadLag:        500 * time.Millisecond,
+		EventLag:       time.Second,
+		EventGap:       0.02,
+		Seed:           1,
+		Role:           "mixed",
+		LoadTime:       2 * time.Second,
+		Crash:          func() {},
+	}
+}
+
+type noControl struct{}
+
+func (noControl) Wait(ctx context.Context) error { return ctx.Err() }
+func (noControl) Slow() float64                  { return 1 }
--- /dev/null
+++ b/emul/internal/batch/messages.go
@@ -0,0 +1,134 @@
+package batch
+
+// Start asks for a new stream.
+type Start struct {
+	ID              string   `json:"id"`
+	Attempt         int      `json:"attempt"`
+	Organisation    string   `json:"organisation"`
+	Model           string   `json:"model"`
+	Prompt          string   `json:"prompt"`
+	MaxTokens       int      `json:"max_tokens"`
+	Priority        int      `json:"priority"`
+	TimeLimitMillis int64    `json:"time_limit_ms"`
+	Reservation     string   `json:"reservation"`
+	Members         []string `json:"members"`
+}
+
+// Frame is one line of a stream. The last token's frame has Done set; a failed
+// stream ends with a frame that has Done and Error set and no text.
+type Frame struct {
+	Attempt          int    `json:"attempt"`
+	Seq              int    `json:"seq"`
+	Text             string `json:"text"`
+	Done             bool   `json:"done"`
+	FinishReason     string `json:"finish_reason,omitempty"`
+	PromptTokens     int    `json:"prompt_tokens,omitempty"`
+	CompletionTokens int    `json:"completion_tokens,omitempty"`
+	CachedTokens     int    `json:"cached_tokens,omitempty"`
+	Error            string `json:"error,omitempty"`
+	Keepalive        bool   `json:"-"`
+}
+
+// StreamInfo is an entry of the list of streams. Done marks a finished stream
+// that is kept for readers that resume it; it holds no memory.
+type StreamInfo struct {
+	ID             string `json:"id"`
+	Attempt        int    `json:"attempt"`
+	Organisation   string `json:"organisation"`
+	PromptTokens   int    `json:"prompt_tokens"`
+	TokensHeld     int    `json:"tokens_held"`
+	Generated      int    `json:"generated"`
+	Attached       bool   `json:"attached"`
+	DetachedMillis int64  `json:"detached_ms"`
+	Reservation    string `json:"reservation"`
+	Done           bool   `json:"done"`
+}
+
+// Model is a loaded model.
+type Model struct {
+	Name     string   `json:"name"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+}
+
+// Load is a load report. Speeds are those of the last steps.
+type Load struct {
+	Engine                 string  `json:"engine"`
+	CapacityTokens         int     `json:"capacity_tokens"`
+	UsedTokens             int     `json:"used_tokens"`
+	Running                int     `json:"running"`
+	Waiting                int     `json:"waiting"`
+	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
+	DecodeStepMillis       float64 `json:"decode_step_ms"`
+	Models                 []Model `json:"models"`
+	Role                   string  `json:"role"`
+	Fence                  uint64  `json:"fence"`
+	AgeMillis              int64   `json:"age_ms"`
+}
+
+// Order changes what the engine serves. Kind is load, unload, adapter or role.
+type Order struct {
+	Fence   uint64 `json:"fence"`
+	Kind    string `json:"kind"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Adapter string `json:"adapter"`
+	Role    string `json:"role"`
+}
+
+// Event is a change of the prefix cache. Tokens is the length of the prefix.
+type Event struct {
+	Seq          uint64 `json:"seq"`
+	Kind         string `json:"kind"`
+	Organisation string `json:"organisation"`
+	Prefix       string `json:"prefix"`
+	Tokens       int    `json:"tokens"`
+}
+
+// Reservation asks for memory. It is kept until deleted when TTLMillis is 0.
+type Reservation struct {
+	ID        string `json:"id"`
+	Tokens    int    `json:"tokens"`
+	TTLMillis int64  `json:"ttl_ms"`
+}
+
+// Import asks a member to hold KV cache for a leader. With a reservation it
+// takes at most the reserved tokens and consumes the reservation. Renew extends
+// an import that exists and never creates one. With Organisation and Prefixes
+// the tokens are those of an exported prefix, which the import adds to the
+// cache when it is freed.
+type Import struct {
+	ID           string   `json:"id"`
+	Reservation  string   `json:"reservation"`
+	Tokens       int      `json:"tokens"`
+	TTLMillis    int64    `json:"ttl_ms,omitempty"`
+	Renew        bool     `json:"renew,omitempty"`
+	Organisation string   `json:"organisation,omitempty"`
+	Prefixes     []string `json:"prefixes,omitempty"`
+}
+
+// Export pins a cached prefix so that it is not evicted while another engine
+// copies it. It is kept until deleted when TTLMillis is 0.
+type Export struct {
+	ID           string `json:"id"`
+	Organisation string `json:"organisation"`
+	Prefix       string `json:"prefix"`
+	TTLMillis    int64  `json:"ttl_ms"`
+}
+
+// Exported is the answer to Export. Prefixes are the hashes of the prefix and
+// of the cached prefixes within it, shortest first.
+type Exported struct {
+	ID       string   `json:"id"`
+	Tokens   int      `json:"tokens"`
+	Prefixes []string `json:"prefixes"`
+}
+
+// Held is an import, export or reservation. ExpiresMillis is 0 if it has no
+// time to live.
+type Held struct {
+	ID            string `json:"id"`
+	Kind          string `json:"kind"`
+	Tokens        int    `json:"tokens"`
+	ExpiresMillis int64  `json:"expires_ms"`
+}
--- /dev/null
+++ b/emul/internal/plat/hosts.go
@@ -0,0 +1,86 @@
+package plat
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Host is an entry of the host list.
+type Host struct {
+	Name          string `json:"name"`
+	Role          string `json:"role"`
+	Service       string `json:"service,omitempty"`
+	Address       string `json:"address"`
+	PeerAddress   string `json:"peer_address,omitempty"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region,omitempty"`
+	State         string `json:"state"`
+}
+
+// hosts is a list whose readers see changes after a delay.
+type hosts struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	visible map[string]Host
+	changes []change // in order of time, not visible yet
+}
+
+type change struct {
+	at   time.Time
+	name string
+	host *Host // nil deletes
+}
+
+func newHosts(lag time.Duration, initial []Host) *hosts {
+	h := &hosts{lag: lag, visible: map[string]Host{}}
+	for _, host := range initial {
+		h.visible[host.Name] = host.withDefaults()
+	}
+	return h
+}
+
+func (h Host) withDefaults() Host {
+	h.State = cmp.Or(h.State, "live")
+	return h
+}
+
+// put adds or replaces hosts by name.
+func (h *hosts) put(list []Host) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, host := range list {
+		host = host.withDefaults()
+		h.changes = append(h.changes, change{time.Now(), host.Name, &host})
+	}
+}
+
+func (h *hosts) remove(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changes = append(h.changes, change{time.Now(), name, nil})
+}
+
+// list returns the visible hosts by name.
+func (h *hosts) list() []Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	limit := time.Now().Add(-h.lag)
+	for len(h.changes) > 0 && !h.changes[0].at.After(limit) {
+		c := h.changes[0]
+		h.changes = h.changes[1:]
+		if c.host == nil {
+			delete(h.visible, c.name)
+			continue
+		}
+		h.visible[c.name] = *c.host
+	}
+	list := make([]Host, 0, len(h.visible))
+	for _, host := range h.visible {
+		list = append(list, host)
+	}
+	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
--- /dev/null
+++ b/emul/internal/store/store.go
@@ -0,0 +1,245 @@
+// Package store models the platform's key-value service: compare-and-swap with
+// one revision counter, watches, and leases that delete their keys.
+package store
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Errors of the store.
+var (
+	ErrNotFound = errors.New("not found")
+	// ErrConflict reports that the base revision is not the current one.
+	ErrConflict = errors.New("base revision does not match")
+	// ErrLease reports that the lease does not exist or has lapsed.
+	ErrLease = errors.New("lease has lapsed")
+)
+
+// Entry is a key with its value and the revision of its last write.
+type Entry struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+// Store is the key-value service.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	entries  map[string]Entry
+	owner    map[string]string // lease of a key
+	touched  map[string]uint64 // last revision of each key, deletions included
+	leases   map[string]*lease
+	nextID   uint64
+	watchers map[*watcher]struct{}
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+type watcher struct {
+	prefix string
+	wake   chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		entries: map[string]Entry{}, owner: map[string]string{}, touched: map[string]uint64{},
+		leases: map[string]*lease{}, watchers: map[*watcher]struct{}{},
+	}
+}
+
+// Get returns the entry of a key or ErrNotFound.
+func (s *Store) Get(key string) (Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[key]
+	if !ok {
+		return Entry{}, ErrNotFound
+	}
+	return e, nil
+}
+
+// List returns the entries under a prefix in key order.
+func (s *Store) List(prefix string) []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := []Entry{}
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return list
+}
+
+// Put writes a key if its revision is base; base 0 creates the key. The key is
+// deleted when the lease ends, if one is named. It returns the new revision, or
+// the current one with ErrConflict, or ErrLease.
+func (s *Store) Put(key string, value []byte, base uint64, leaseID string) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if current := s.entries[key].Revision; current != base {
+		return current, ErrConflict
+	}
+	if leaseID != "" && s.leases[leaseID] == nil {
+		return base, ErrLease
+	}
+	s.touch(key)
+	s.entries[key] = Entry{Key: key, Value: value, Revision: s.revision}
+	delete(s.owner, key)
+	if leaseID != "" {
+		s.owner[key] = leaseID
+	}
+	return s.revision, nil
+}
+
+// Delete removes a key if its revision is base. It returns the revision of the
+// deletion, or the current one with ErrConflict, or ErrNotFound.
+func (s *Store) Delete(key string, base uint64) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.entries[key].Revision
+	if current == 0 {
+		return 0, ErrNotFound
+	}
+	if current != base {
+		return current, ErrConflict
+	}
+	s.remove(key)
+	return s.revision, nil
+}
+
+func (s *Store) remove(key string) {
+	delete(s.entries, key)
+	delete(s.owner, key)
+	s.touch(key)
+}
+
+func (s *Store) touch(key string) {
+	s.revision++
+	s.touched[key] = s.revision
+	for w := range s.watchers {
+		if strings.HasPrefix(key, w.prefix) {
+			delete(s.watchers, w)
+			close(w.wake)
+		}
+	}
+}
+
+// highest returns the highest revision under a prefix, deletions included.
+func (s *Store) highest(prefix string) uint64 {
+	var top uint64
+	for key, revision := range s.touched {
+		if revision > top && strings.HasPrefix(key, prefix) {
+			top = revision
+		}
+	}
+	return top
+}
+
+// Watch waits until the highest revision under a prefix, deletions included, is
+// above after, and returns it. It returns the unchanged revision after the wait
+// and the error of ctx when that ends.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		top := s.highest(prefix)
+		w := &watcher{prefix: prefix, wake: make(chan struct{})}
+		s.watchers[w] = struct{}{}
+		s.mu.Unlock()
+		if top > after {
+			s.unwatch(w)
+			return top, nil
+		}
+		select {
+		case <-w.wake:
+		case <-timer.C:
+			s.unwatch(w)
+			return top, nil
+		case <-ctx.Done():
+			s.unwatch(w)
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) unwatch(w *watcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.watchers, w)
+}
+
+// Grant creates a lease and returns its id.
+func (s *Store) Grant(ttl time.Duration) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	id := "lease-" + strconv.FormatUint(s.nextID, 10)
+	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.lapse(id) })}
+	return id
+}
+
+// Renew extends a lease by its time to live, which it returns, or ErrLease.
+func (s *Store) Renew(id string) (time.Duration, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	// A timer that has fired already ends the lease, even if its keys are not
+	// deleted yet.
+	if l == nil || !l.timer.Stop() {
+		return 0, ErrLease
+	}
+	l.timer.Reset(l.ttl)
+	return l.ttl, nil
+}
+
+// Revoke ends a lease at once. It returns false if there is none.
+func (s *Store) Revoke(id string) bool {
+	s.mu.Lock()
+	l := s.leases[id]
+	s.mu.Unlock()
+	if l == nil {
+		return false
+	}
+	l.timer.Stop()
+	s.lapse(id)
+	return true
+}
+
+func (s *Store) lapse(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, id)
+	var keys []string
+	for key, owner := range s.owner {
+		if owner == id {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		s.remove(key)
+	}
+}
+
+// Stats returns the revision counter and the numbers of keys and waiting
+// watches.
+func (s *Store) Stats() (revision uint64, keys, watches int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision, len(s.entries), len(s.watchers)
+}
