--- /dev/null
+++ b/internal/daemon/clock.go
@@ -0,0 +1,25 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// sleep waits for d. It returns false when the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// jitter returns a duration between half and one and a half of d, so that
+// nodes that started together do not act together.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + rand.Float64()))
+}
--- /dev/null
+++ b/internal/daemon/directory.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"math/rand/v2"
+
+	"github.com/verbenapier/verbenapier/internal/entry"
+	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/plat"
+)
+
+// directory implements entry.Directory from the membership and the host list.
+type directory struct {
+	members       func() []member.Member
+	hosts         *hosts
+	failureDomain string
+}
+
+// Addresses returns the entry hosts that take new requests, in random order,
+// so that callers spread over them.
+func (d *directory) Addresses() []entry.Address {
+	leaving := map[string]bool{}
+	for _, h := range d.hosts.With(plat.RoleEntry, "") {
+		if h.State == plat.HostLeaving {
+			leaving[h.Name] = true
+		}
+	}
+	list := []entry.Address{}
+	for _, m := range d.members() {
+		if m.State == member.Alive && !leaving[m.Name] {
+			list = append(list, entry.Address{Address: m.Address, FailureDomain: m.FailureDomain})
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+// Upstreams returns the live plain upstreams of a service in random order,
+// those of this host's failure domain first.
+func (d *directory) Upstreams(service string) []string {
+	var near, far []string
+	for _, h := range d.hosts.With(plat.RolePlain, service) {
+		if h.State != plat.HostLive {
+			continue
+		}
+		if h.FailureDomain == d.failureDomain {
+			near = append(near, h.Address)
+		} else {
+			far = append(far, h.Address)
+		}
+	}
+	for _, list := range [][]string{near, far} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return append(near, far...)
+}
--- /dev/null
+++ b/internal/daemon/hosts.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/verbenapier/verbenapier/internal/plat"
+)
+
+const (
+	// hostsInterval is the mean time between readings of the platform's list.
+	hostsInterval = 5 * time.Second
+	hostsTimeout  = 2 * time.Second
+)
+
+// hosts keeps the last host list that the platform gave. During an outage the
+// list stays as it is.
+type hosts struct {
+	lister plat.HostLister
+	log    logrus.FieldLogger
+
+	mu      sync.Mutex
+	list    []plat.Host
+	read    time.Time
+	changed chan struct{}
+}
+
+func newHosts(lister plat.HostLister, log logrus.FieldLogger) *hosts {
+	return &hosts{lister: lister, log: log, changed: make(chan struct{}, 1)}
+}
+
+// Run reads the list until the context ends.
+func (h *hosts) Run(ctx context.Context) error {
+	for {
+		h.refresh(ctx)
+		if !sleep(ctx, jitter(hostsInterval)) {
+			return nil
+		}
+	}
+}
+
+func (h *hosts) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, hostsTimeout)
+	defer cancel()
+	list, err := h.lister.Hosts(ctx)
+	if err != nil {
+		h.log.WithError(err).WithField("event", "hosts_unavailable").Warn("the host list was not read; the last one stays in use")
+		return
+	}
+	slices.SortFunc(list, func(a, b plat.Host) int { return strings.Compare(a.Name, b.Name) })
+	h.mu.Lock()
+	same := slices.Equal(h.list, list)
+	h.list, h.read = list, time.Now()
+	h.mu.Unlock()
+	if same {
+		return
+	}
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+}
+
+// All returns the last list, sorted by name.
+func (h *hosts) All() []plat.Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.list)
+}
+
+// Changed delivers a value after the list has changed.
+func (h *hosts) Changed() <-chan struct{} { return h.changed }
+
+// Age returns the time since the list was last read.
+func (h *hosts) Age() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.read)
+}
+
+// With returns the hosts with a role and service.
+func (h *hosts) With(role plat.Role, service string) []plat.Host {
+	var found []plat.Host
+	for _, host := range h.All() {
+		if host.Role == role && (service == "" || host.Service == service) {
+			found = append(found, host)
+		}
+	}
+	return found
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -74,7 +74,7 @@
 // open posts a request whose answer is a stream of frames.
 func (c *Client) open(ctx context.Context, address, path string, body any) (*Reader, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	watchdog := time.AfterFunc(headerTimeout, func() { cancel(errSilent) })
+	watchdog := time.AfterFunc(headerTimeout, func() { cancel(ErrSilent) })
 	resp, err := c.post(ctx, address, path, body)
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = statusError(resp)
@@ -93,8 +93,8 @@
 	switch cause := context.Cause(ctx); {
 	case cause == nil || fault.Is(err, fault.Unreachable):
 		return err
-	case errors.Is(cause, errSilent):
-		return fault.Wrap(fault.UpstreamLost, errSilent, "no answer from the upstream")
+	case errors.Is(cause, ErrSilent):
+		return fault.Wrap(fault.UpstreamLost, ErrSilent, "no answer from the upstream")
 	default:
 		return fault.Wrap(fault.KindOf(ctx.Err()), cause, "waiting for the upstream")
 	}
--- a/internal/engine/reader.go
+++ b/internal/engine/reader.go
@@ -16,8 +16,9 @@
 // or the engine is gone.
 const silenceLimit = 3 * time.Second
 
-// errSilent is the cancellation cause of a silent connection.
-var errSilent = errors.New("connection is silent")
+// ErrSilent is the cause of the error of a connection that went silent, as
+// opposed to one that was closed.
+var ErrSilent = errors.New("connection is silent")
 
 // maxLine bounds one line of a stream, in bytes.
 const maxLine = 1 << 20
@@ -51,12 +52,12 @@
 			return f, nil
 		}
 	}
-	if cause := context.Cause(r.ctx); cause != nil && !errors.Is(cause, errSilent) {
+	if cause := context.Cause(r.ctx); cause != nil && !errors.Is(cause, ErrSilent) {
 		return Frame{}, fault.Wrap(fault.KindOf(cause), cause, "reading a stream")
 	}
 	err := r.lines.Err()
-	if errors.Is(context.Cause(r.ctx), errSilent) {
-		err = errSilent
+	if errors.Is(context.Cause(r.ctx), ErrSilent) {
+		err = ErrSilent
 	}
 	if err == nil {
 		err = io.ErrUnexpectedEOF
@@ -70,7 +71,3 @@
 	r.cancel(nil)
 	_ = r.body.Close()
 }
-
-// Silent reports whether err says that a connection went silent, as opposed to
-// being closed.
-func Silent(err error) bool { return errors.Is(err, errSilent) }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -123,7 +123,8 @@
 	c.phase.Store("running")
 	c.server.ledger.add(grant.Cell, sched.Held{
 		ID: grant.ID, RequestID: c.id, Engine: grant.Engine, Organisation: c.organisation,
-		Fingerprint: c.fingerprint, Tokens: c.promptTokens + c.maxTokens,
+		Fingerprint: c.fingerprint, Tokens: c.promptTokens + c.maxTokens, Attempt: c.attempts, Alone: alone,
+		Members: grant.Members, Reservation: grant.Reservation, Shares: grant.Shares,
 	})
 	t := &transfer{call: c, grant: grant, out: out}
 	err = t.run(ctx)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,11 +41,20 @@
 
 // Engines starts and resumes streams.
 type Engines interface {
-	Start(ctx context.Context, address string, req engine.StartRequest) (*engine.Reader, error)
-	Resume(ctx context.Context, address, id string, attempt, from int) (*engine.Reader, error)
+	Start(ctx context.Context, address string, req engine.StartRequest) (Frames, error)
+	Resume(ctx context.Context, address, id string, attempt, from int) (Frames, error)
 	Cancel(ctx context.Context, address, id string) error
 }
 
+// Frames are the frames of one stream over one connection.
+type Frames interface {
+	// Next returns the next frame. UpstreamLost says that the connection broke;
+	// its cause is engine.ErrSilent when the connection went silent instead.
+	Next() (engine.Frame, error)
+	// Close releases the connection and leaves the stream running.
+	Close()
+}
+
 // Quarantine knows the prompts that crashed engines.
 type Quarantine interface {
 	// Check returns whether the prompt must run alone, or Quarantined.
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/verbenapier/verbenapier/internal/engine"
@@ -52,7 +53,7 @@
 
 // start starts the stream. When the reply was lost the stream may exist, so it
 // is attached to rather than started again.
-func (t *transfer) start(ctx context.Context) (*engine.Reader, error) {
+func (t *transfer) start(ctx context.Context) (Frames, error) {
 	c := t.call
 	reader, err := c.server.options.Engines.Start(ctx, t.grant.Address, engine.StartRequest{
 		ID: t.grant.ID, Attempt: c.attempts, Organisation: c.scope, Model: c.model, Prompt: c.prompt,
@@ -80,7 +81,7 @@
 
 // resume attaches to the stream again. The error is UpstreamLost when the
 // engine no longer holds it or cannot be reached.
-func (t *transfer) resume(ctx context.Context, lost error) (*engine.Reader, error) {
+func (t *transfer) resume(ctx context.Context, lost error) (Frames, error) {
 	c := t.call
 	unreachable := 0
 	for try := 1; try <= resumeTries; try++ {
@@ -95,10 +96,10 @@
 		if fault.Is(err, fault.NotFound) {
 			// The engine answers but lost the stream: it was restarted.
 			t.held = false
-			t.crashed = !engine.Silent(lost)
+			t.crashed = !errors.Is(lost, engine.ErrSilent)
 			return nil, fault.Wrap(fault.UpstreamLost, err, "engine %s lost the stream", t.grant.Engine)
 		}
-		if engine.Silent(err) {
+		if errors.Is(err, engine.ErrSilent) {
 			// New connections are silent as well: the engine is frozen.
 			return nil, fault.Wrap(fault.UpstreamLost, err, "engine %s does not answer", t.grant.Engine)
 		}
@@ -109,13 +110,13 @@
 	}
 	// A closed connection followed by refused ones is a dead process. A silent
 	// one is more likely a network failure, for which no prompt is to blame.
-	t.crashed = unreachable == resumeTries && !engine.Silent(lost)
+	t.crashed = unreachable == resumeTries && !errors.Is(lost, engine.ErrSilent)
 	return nil, fault.Wrap(fault.UpstreamLost, lost, "engine %s was lost", t.grant.Engine)
 }
 
 // pump passes frames on until the stream ends. Done is true after the last
 // frame.
-func (t *transfer) pump(reader *engine.Reader) (done bool, err error) {
+func (t *transfer) pump(reader Frames) (done bool, err error) {
 	for {
 		f, err := reader.Next()
 		if err != nil {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -26,7 +26,7 @@
 // Client calls peers over one connection per address. A connection that goes
 // silent while calls wait on it is closed and replaced.
 type Client struct {
-	tls   *tls.Config
+	dial  Dial
 	group *group.Group
 	ids   atomic.Uint64
 
@@ -39,10 +39,28 @@
 
 var _ Caller = (*Client)(nil)
 
-// NewClient returns a client whose connections use the given TLS settings, or
-// plain TCP when they are nil. Its goroutines belong to g and end with it.
-func NewClient(g *group.Group, tlsConfig *tls.Config) *Client {
-	return &Client{tls: tlsConfig, group: g, peers: map[string]*peer{}}
+// Dial opens a connection to a peer address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP returns a Dial that uses TCP with the given TLS settings, or plain
+// TCP when they are nil.
+func DialTCP(tlsConfig *tls.Config) Dial {
+	dialer := &net.Dialer{KeepAliveConfig: keepAlive}
+	if tlsConfig == nil {
+		return func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	secured := &tls.Dialer{NetDialer: dialer, Config: tlsConfig}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return secured.DialContext(ctx, "tcp", address)
+	}
+}
+
+// NewClient returns a client that opens connections by dial. Its goroutines
+// belong to g and end with it.
+func NewClient(g *group.Group, dial Dial) *Client {
+	return &Client{dial: dial, group: g, peers: map[string]*peer{}}
 }
 
 // Traffic returns the bytes read and written over the life of the client.
@@ -174,7 +192,9 @@
 	if p.failure != nil && time.Since(p.failedAt) < redialDelay {
 		return nil, p.failure
 	}
-	conn, err := c.dial(ctx, p.address)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.dial(dialCtx, p.address)
 	if err != nil {
 		p.failedAt = time.Now()
 		p.failure = fault.Wrap(fault.Unreachable, err, "cannot reach peer %s", p.address)
@@ -186,16 +206,6 @@
 	return l, nil
 }
 
-func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	dialer := &net.Dialer{KeepAliveConfig: keepAlive}
-	if c.tls == nil {
-		return dialer.DialContext(ctx, "tcp", address)
-	}
-	return (&tls.Dialer{NetDialer: dialer, Config: c.tls}).DialContext(ctx, "tcp", address)
-}
-
 // link is one connection to a peer.
 type link struct {
 	raw     *trackedConn
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,206 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// pipes is an in-memory listener and dialer whose connections can be silenced:
+// a silenced connection accepts writes and delivers nothing.
+type pipes struct {
+	accept chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+	dials  atomic.Int64
+	refuse atomic.Bool
+
+	mu    sync.Mutex
+	conns []*silentConn
+}
+
+func newPipes() *pipes {
+	return &pipes{accept: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.accept:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (p *pipes) Close() error   { p.once.Do(func() { close(p.closed) }); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipes) dial(ctx context.Context, _ string) (net.Conn, error) {
+	p.dials.Add(1)
+	if p.refuse.Load() {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	c := &silentConn{Conn: near}
+	p.mu.Lock()
+	p.conns = append(p.conns, c)
+	p.mu.Unlock()
+	select {
+	case p.accept <- far:
+		return c, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// silence makes every open connection drop what is written to it.
+func (p *pipes) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.silent.Store(true)
+	}
+}
+
+type silentConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+type echoParams struct {
+	Text string `json:"text"`
+}
+
+// start serves a mux with an echo, a failing, a panicking and a waiting
+// method.
+func start(t *testing.T) (*pipes, *Client, chan error) {
+	t.Helper()
+	ended := make(chan error, 1)
+	mux := NewMux()
+	mux.Handle("echo", Typed(func(_ context.Context, _ string, p echoParams) (echoParams, error) { return p, nil }))
+	mux.Handle("fail", Typed(func(context.Context, string, echoParams) (echoParams, error) {
+		return echoParams{}, fault.New(fault.Overloaded, "cell is full")
+	}))
+	mux.Handle("panic", Typed(func(context.Context, string, echoParams) (echoParams, error) { panic("boom") }))
+	mux.Handle("wait", Typed(func(ctx context.Context, _ string, _ echoParams) (echoParams, error) {
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return echoParams{}, ctx.Err()
+	}))
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	network := newPipes()
+	g := group.New(t.Context())
+	server := NewServer(g, mux, nil, log)
+	g.Go("serve", func(ctx context.Context) error { return server.Serve(ctx, network) })
+	t.Cleanup(func() {
+		g.Stop()
+		require.NoError(t, g.Wait())
+	})
+	return network, NewClient(g, network.dial), ended
+}
+
+func call(t *testing.T, c *Client, method string, timeout time.Duration) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	var out echoParams
+	err := c.Call(ctx, "peer", method, echoParams{Text: "hello"}, &out)
+	return out.Text, err
+}
+
+// Guards against error kinds that are lost between processes and against a
+// handler that takes its process down.
+func TestCallOutcomes(t *testing.T) {
+	cases := map[string]struct {
+		method string
+		want   fault.Kind
+	}{
+		"failure":        {"fail", fault.Overloaded},
+		"panic":          {"panic", fault.Internal},
+		"unknown method": {"none", fault.Invalid},
+		"no answer":      {"wait", fault.Timeout},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network, client, _ := start(t)
+				_, err := call(t, client, tc.method, time.Second)
+				require.Equal(t, tc.want, fault.KindOf(err), "%v", err)
+				text, err := call(t, client, "echo", time.Second)
+				require.NoError(t, err)
+				require.Equal(t, "hello", text)
+				require.EqualValues(t, 1, network.dials.Load(), "the connection is kept")
+			})
+		})
+	}
+}
+
+// Guards against calls that wait for their deadline on a connection that went
+// silent while new connections work.
+func TestSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, client, _ := start(t)
+		_, err := call(t, client, "echo", time.Second)
+		require.NoError(t, err)
+
+		network.silence()
+		began := time.Now()
+		_, err = call(t, client, "echo", time.Minute)
+		require.Equal(t, fault.ReplyLost, fault.KindOf(err), "%v", err)
+		require.LessOrEqual(t, time.Since(began), 2*silenceCheck+silenceTimeout)
+
+		text, err := call(t, client, "echo", time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "hello", text)
+	})
+}
+
+// Guards against a peer that goes on working for a caller that gave up.
+func TestCancelReachesHandler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, client, ended := start(t)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		time.AfterFunc(time.Second, cancel)
+		err := client.Call(ctx, "peer", "wait", echoParams{}, nil)
+		require.Equal(t, fault.Canceled, fault.KindOf(err))
+		began := time.Now()
+		require.ErrorIs(t, <-ended, context.Canceled)
+		require.Less(t, time.Since(began), time.Second)
+	})
+}
+
+// Guards against a storm of dials to a dead peer, and against an unreachable
+// peer that is reported as if the message might have had an effect.
+func TestUnreachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, client, _ := start(t)
+		network.refuse.Store(true)
+		for range 100 {
+			_, err := call(t, client, "echo", time.Second)
+			require.Equal(t, fault.Unreachable, fault.KindOf(err))
+		}
+		require.EqualValues(t, 1, network.dials.Load())
+		network.refuse.Store(false)
+		time.Sleep(redialDelay)
+		_, err := call(t, client, "echo", time.Second)
+		require.NoError(t, err)
+	})
+}
