--- a/emul/internal/batch/engine.go
+++ b/emul/internal/batch/engine.go
@@ -147,9 +147,11 @@
 	return need - local, nil
 }
 
+// serves reports whether a name is that of a loaded model, of a model and its
+// version as name@version, or of an adapter.
 func (e *Engine) serves(model string) bool {
 	return slices.ContainsFunc(e.models, func(m Model) bool {
-		return model == m.Name || model == m.Name+"@"+m.Version
+		return model == m.Name || model == m.Name+"@"+m.Version || slices.Contains(m.Adapters, model)
 	})
 }
 
