Group engines into cells and pick owners by rendezvous hash

Cause: entry nodes must agree on cells and owners without talking. Conclusion: the limit is the mean, because a small cell cannot hold the longest prompts.

--- /dev/null
+++ b/internal/cells/cell.go
@@ -0,0 +1,135 @@
+package cells
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/plat"
+)
+
+// MaxEngines is the largest number of engines in a cell.
+const MaxEngines = 64
+
+// Cell is a set of engines of one service in one failure domain that one node
+// schedules.
+type Cell struct {
+	// Name is the service, the failure domain and a number, with slashes.
+	Name          string      `json:"name"`
+	Service       string      `json:"service"`
+	FailureDomain string      `json:"failure_domain"`
+	Region        string      `json:"region"`
+	Engines       []plat.Host `json:"engines"`
+}
+
+// Group forms the cells of the live engines among the hosts, in the order of
+// their names, each with at most maxEngines engines in the order of theirs. A
+// maxEngines below one is taken as MaxEngines.
+//
+// Engines are placed by rendezvous hashing with bounded load. The number of
+// cells is a power of two, or a power of two and a half, so that small changes
+// of the number of engines rarely change it.
+func Group(hosts []plat.Host, maxEngines int) []Cell {
+	if maxEngines < 1 {
+		maxEngines = MaxEngines
+	}
+	type place struct{ service, domain string }
+	groups := map[place][]plat.Host{}
+	for _, h := range hosts {
+		if h.Role == plat.RoleEngine && h.State == plat.HostLive {
+			p := place{h.Service, h.FailureDomain}
+			groups[p] = append(groups[p], h)
+		}
+	}
+	cells := make([]Cell, 0, len(groups))
+	for p, engines := range groups {
+		cells = append(cells, split(p.service+"/"+p.domain, engines, maxEngines)...)
+	}
+	slices.SortFunc(cells, func(a, b Cell) int { return cmp.Compare(a.Name, b.Name) })
+	return cells
+}
+
+// split spreads the engines of one service and failure domain over cells.
+func split(prefix string, engines []plat.Host, maxEngines int) []Cell {
+	cells := make([]Cell, cellCount(len(engines), maxEngines))
+	for i := range cells {
+		cells[i] = Cell{
+			Name:          fmt.Sprintf("%s/%d", prefix, i),
+			Service:       engines[0].Service,
+			FailureDomain: engines[0].FailureDomain,
+			Region:        engines[0].Region,
+		}
+	}
+	all := make([]int, len(cells))
+	names := make([]string, len(cells))
+	for i := range cells {
+		all[i], names[i] = i, cells[i].Name
+	}
+	// Cells of equal size stay large enough for prompts that need several
+	// engines.
+	limit := (len(engines) + len(cells) - 1) / len(cells)
+	// The order of placement is by hash of the engine, so that a new engine
+	// displaces few others and no group of names is favoured.
+	byHash := Ranked(prefix, engines, engineName)
+	for _, e := range byHash {
+		for _, i := range Ranked(e.Name, all, func(i int) string { return names[i] }) {
+			if len(cells[i].Engines) < limit {
+				cells[i].Engines = append(cells[i].Engines, e)
+				break
+			}
+		}
+	}
+	cells = slices.DeleteFunc(cells, func(c Cell) bool { return len(c.Engines) == 0 })
+	for i := range cells {
+		slices.SortFunc(cells[i].Engines, func(a, b plat.Host) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return cells
+}
+
+// cellCount returns the number of cells for a number of engines: the smallest
+// of 1, 2, 3, 4, 6, 8, 12 and so on in which the engines fill at most seven
+// eighths of the places. One cell may be filled entirely.
+func cellCount(engines, maxEngines int) int {
+	if engines <= maxEngines {
+		return 1
+	}
+	for n := 2; ; n *= 2 {
+		for _, count := range []int{n, n + n/2} {
+			if engines*8 <= count*maxEngines*7 {
+				return count
+			}
+		}
+	}
+}
+
+func engineName(h plat.Host) string { return h.Name }
+
+// Owner returns the member that schedules a cell: the usable member with the
+// highest rendezvous hash in the cell's region or, when that region has none,
+// in any region. The second result is false when no member is usable.
+func Owner(cell Cell, members []member.Member) (member.Member, bool) {
+	return OwnerOf("cell/"+cell.Name, cell.Region, members)
+}
+
+// OwnerOf returns the owner of any key among the usable members, preferring a
+// region. With an empty region all members are equal, as for the shards of
+// claims and the home nodes of organisations.
+func OwnerOf(key, region string, members []member.Member) (member.Member, bool) {
+	usable := make([]member.Member, 0, len(members))
+	for _, m := range members {
+		if m.Usable() && (region == "" || m.Region == region) {
+			usable = append(usable, m)
+		}
+	}
+	if len(usable) == 0 && region != "" {
+		return OwnerOf(key, "", members)
+	}
+	return Highest(key, usable, func(m member.Member) string { return m.Name })
+}
+
+// Rank returns the cells in descending order of their rendezvous hash for a
+// key, such as an organisation with the hash of its first prompt block.
+func Rank(key string, cells []Cell) []Cell {
+	return Ranked(key, cells, func(c Cell) string { return c.Name })
+}
--- /dev/null
+++ b/internal/cells/cell_test.go
@@ -0,0 +1,150 @@
+package cells
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/plat"
+)
+
+func engine(i int) plat.Host {
+	return plat.Host{
+		Name: fmt.Sprintf("engine-%05d", i), Role: plat.RoleEngine, Service: "drafting",
+		FailureDomain: "sofia-a", Region: "sofia", State: plat.HostLive,
+	}
+}
+
+func placement(cells []Cell) map[string]string {
+	at := map[string]string{}
+	for _, c := range cells {
+		for _, e := range c.Engines {
+			at[e.Name] = c.Name
+		}
+	}
+	return at
+}
+
+// Guards against engines that are lost, doubled or crowded into a cell, and
+// against a replaced engine that moves many others.
+func TestGroupStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 700).Draw(t, "engines")
+		limit := rapid.SampledFrom([]int{8, 16, 64}).Draw(t, "limit")
+		replaced := rapid.IntRange(0, n-1).Draw(t, "replaced")
+		hosts := make([]plat.Host, 0, n)
+		for i := range n {
+			hosts = append(hosts, engine(i))
+		}
+		before := Group(hosts, limit)
+		for _, c := range before {
+			require.LessOrEqual(t, len(c.Engines), limit)
+			require.GreaterOrEqual(t, len(c.Engines), n/len(before)-len(before))
+		}
+		hosts[replaced] = engine(100000 + replaced)
+		was, is := placement(before), placement(Group(hosts, limit))
+		require.Len(t, is, n)
+		moved := 0
+		for name, cell := range is {
+			if old, ok := was[name]; ok && old != cell {
+				moved++
+			}
+		}
+		require.LessOrEqual(t, moved, 2*len(before))
+	})
+}
+
+// Guards against an owner in a foreign region while the own one has a usable
+// member, and against an owner that is leaving or dead.
+func TestOwner(t *testing.T) {
+	cell := Cell{Name: "drafting/sofia-a/0", Region: "sofia"}
+	near := member.Member{Name: "a", Region: "sofia", State: member.Alive}
+	other := member.Member{Name: "b", Region: "sofia", State: member.Leaving}
+	far := member.Member{Name: "c", Region: "tana", State: member.Alive}
+	dead := member.Member{Name: "d", Region: "tana", State: member.Dead}
+	cases := map[string]struct {
+		members []member.Member
+		owner   string
+	}{
+		"own region":       {[]member.Member{far, other, near}, "a"},
+		"region has none":  {[]member.Member{far, other, dead}, "c"},
+		"nobody is usable": {[]member.Member{other, dead}, ""},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, ok := Owner(cell, tc.members)
+			require.Equal(t, tc.owner != "", ok)
+			require.Equal(t, tc.owner, got.Name)
+		})
+	}
+}
+
+// Guards against a ranking that differs from the choice of the highest, or
+// that moves keys between candidates that stay.
+func TestRanked(t *testing.T) {
+	self := func(s string) string { return s }
+	names := []string{"a", "b", "c", "d", "e"}
+	for i := range 1000 {
+		key := fmt.Sprint(i)
+		ranked := Ranked(key, names, self)
+		best, ok := Highest(key, names, self)
+		require.True(t, ok)
+		require.Equal(t, ranked[0], best)
+		require.Equal(t, ranked[1:], Ranked(key, ranked[1:], self))
+	}
+}
+
+// BenchmarkGroup, BenchmarkOwner and BenchmarkRank give the figures of
+// docs/CAPACITY.md.
+func BenchmarkGroup(b *testing.B) {
+	for _, n := range []int{262, 525, 1050, 2100} {
+		hosts := make([]plat.Host, 0, n)
+		for i := range n {
+			e := engine(i)
+			e.FailureDomain, e.Region = fmt.Sprintf("domain-%d", i%9), fmt.Sprintf("region-%d", i%3)
+			hosts = append(hosts, e)
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Group(hosts, MaxEngines)
+			}
+		})
+	}
+}
+
+func BenchmarkOwner(b *testing.B) {
+	for _, n := range []int{20, 40, 80, 160, 380} {
+		members := make([]member.Member, 0, n)
+		for i := range n {
+			members = append(members, member.Member{
+				Name: fmt.Sprintf("node-%03d", i), Region: fmt.Sprintf("region-%d", i%3), State: member.Alive,
+			})
+		}
+		cell := Cell{Name: "drafting/sofia-a/0", Region: "region-1"}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Owner(cell, members)
+			}
+		})
+	}
+}
+
+func BenchmarkRank(b *testing.B) {
+	for _, n := range []int{5, 9, 18, 36, 72} {
+		cells := make([]Cell, 0, n)
+		for i := range n {
+			cells = append(cells, Cell{Name: fmt.Sprintf("drafting/domain-%d/%d", i%9, i/9)})
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Rank("organisation/0123456789abcdef", cells)
+			}
+		})
+	}
+}
