--- a/pkg/confd/document.go
+++ b/pkg/confd/document.go
@@ -27,7 +27,7 @@
 	// ShortPromptTokens is the largest prompt, in tokens, that counts as short.
 	ShortPromptTokens int `json:"short_prompt_tokens,omitempty"`
 	// Weights sets what the scheduler favours.
-	Weights Weights `json:"weights"`
+	Weights Weights `json:"weights,omitzero"`
 	// Fencing says whether the upstreams refuse an order with an old fencing
 	// number.
 	Fencing Fencing `json:"fencing,omitempty"`
@@ -38,7 +38,7 @@
 	IdempotencyWindow Duration `json:"idempotency_window,omitempty"`
 	// RetryRatio is the number of retries allowed for each admitted request,
 	// averaged over the service.
-	RetryRatio float64 `json:"retry_ratio,omitempty"`
+	RetryRatio float64 `json:"retry_ratio"`
 	// QuarantineTime is how long a prompt that crashed engines is refused.
 	QuarantineTime Duration `json:"quarantine_time,omitempty"`
 }
--- a/pkg/confd/strict/rule.go
+++ b/pkg/confd/strict/rule.go
@@ -22,11 +22,14 @@
 	// The following fields repeat the check in the terms of JSON Schema.
 	// Pattern applies to the value of a string and to the names of a map;
 	// MaxItems to the length of a list.
-	Min, Max    *float64
-	ExclusiveOf bool
-	Enum        []string
-	Pattern     string
-	MaxItems    int
+	Min, Max *float64
+	// AboveMin excludes Min itself.
+	AboveMin bool
+	Enum     []string
+	Pattern  string
+	MaxItems int
+	// Distinct lists hold no element twice.
+	Distinct bool
 }
 
 // Rules maps key paths to rules. A part "*" stands for any name of a map and
@@ -47,7 +50,7 @@
 	return Rule{
 		Allowed: fmt.Sprintf("a number above %s, up to %s", number(low), number(high)),
 		Check:   func(v reflect.Value) bool { f := numeric(v); return f > low && f <= high },
-		Min:     &low, Max: &high, ExclusiveOf: true,
+		Min:     &low, Max: &high, AboveMin: true,
 	}
 }
 
@@ -81,6 +84,28 @@
 	}
 }
 
+// Optional accepts what r accepts and the zero value of the type.
+func Optional(r Rule) Rule {
+	check := r.Check
+	r.Check = func(v reflect.Value) bool { return v.IsZero() || check(v) }
+	return r
+}
+
+// Distinct accepts lists of up to n different strings.
+func Distinct(n int) Rule {
+	r := AtMost(n)
+	r.Distinct = true
+	r.Allowed = fmt.Sprintf("a list of at most %d different elements", n)
+	r.Check = func(v reflect.Value) bool {
+		seen := make(map[string]bool, v.Len())
+		for i := range v.Len() {
+			seen[v.Index(i).String()] = true
+		}
+		return len(seen) == v.Len() && v.Len() <= n
+	}
+	return r
+}
+
 // AtMost accepts lists of up to n elements.
 func AtMost(n int) Rule {
 	return Rule{
