Raise alarms that name the promise at risk and clear themselves

An earlier system was switched off because of false alarms. Each condition is a row of a table with its promise, its hold time and the operator's action; the daemon supplies the values through narrow functions. The probe for late configurations keeps the time of every revision not yet in force, so a steady stream of changes that are each applied in time raises nothing.

--- /dev/null
+++ b/internal/alarm/condition.go
@@ -0,0 +1,252 @@
+package alarm
+
+import (
+	"fmt"
+	"time"
+)
+
+// Finding says that a condition holds for a subject.
+type Finding struct {
+	Subject  string
+	Evidence string
+	// Since is when the condition began, where the probe knows it better than
+	// the evaluations do; otherwise zero.
+	Since time.Time
+}
+
+// Condition puts a promise at risk while it holds.
+type Condition struct {
+	Name    string
+	Promise Promise
+	// Hold is how long the condition must hold before the alarm is raised.
+	Hold   time.Duration
+	Action string
+	// find returns the subjects for which the condition holds.
+	find func(now time.Time) []Finding
+}
+
+// NewCondition returns a condition with its own probe.
+func NewCondition(name string, promise Promise, hold time.Duration, action string, find func(now time.Time) []Finding) Condition {
+	return Condition{Name: name, Promise: promise, Hold: hold, Action: action, find: find}
+}
+
+const (
+	// eventWindow is how long an event that breaks a promise keeps its alarm.
+	eventWindow = time.Minute
+	// outageWindow is the longest time between refused claims that belong to
+	// the same outage.
+	outageWindow = 5 * time.Second
+	// outageHold is longer than a restart of the platform's service.
+	outageHold = 10 * time.Second
+	// memoryHold is the lifetime of a grant (15 s), that of a detached stream
+	// (15 s) and the lag of load reports.
+	memoryHold = 45 * time.Second
+	// memoryTolerance is the share of an engine's memory that rounding of
+	// token estimates can leave unexplained.
+	memoryTolerance = 0.01
+	// configBound is the time in which a configuration is in force everywhere.
+	configBound = 13 * time.Second
+	// leavingGrace is the time in which the news of a leaving host spreads.
+	leavingGrace = 5 * time.Second
+	// leavingWindow is how long one late piece of work keeps its alarm.
+	leavingWindow = 15 * time.Second
+	// shareHold and shareTolerance allow for the batching of engines.
+	shareHold      = 30 * time.Second
+	shareTolerance = 0.8
+	drainHold      = 5 * time.Second
+)
+
+// Sources are the values that the daemon supplies. All functions are called
+// once per Period, from one goroutine, and must not block. A nil function
+// leaves its conditions out.
+type Sources struct {
+	// Node is the name of this node, the subject of its own conditions.
+	Node string
+	// LateRequests counts requests that ended after their time limit.
+	LateRequests func() uint64
+	// BrokenAnswers counts answers that were delivered with a gap or to the
+	// wrong request.
+	BrokenAnswers func() uint64
+	// FalseNotRun counts requests reported as not run that an upstream ran.
+	FalseNotRun func() uint64
+	// RepeatedCalls counts non-idempotent calls found to have run twice.
+	RepeatedCalls func() uint64
+	// ClaimsRefused counts claims refused because the platform is unavailable.
+	ClaimsRefused func() uint64
+	// Memory lists the engines that this node schedules.
+	Memory func() []Memory
+	// Config returns the revision in force and the newest one known.
+	Config func() (inForce, newest uint64)
+	// Leaving lists the leaving hosts that this node knows.
+	Leaving func() []LeavingHost
+	// Shares lists the organisations in the cells that this node schedules.
+	Shares func() []Share
+	// Drain returns the time left to drain, the longest remaining time limit
+	// of a request in flight, and whether the node is draining.
+	Drain func() (left, longest time.Duration, draining bool)
+}
+
+// Memory is what an engine holds.
+type Memory struct {
+	Engine string
+	// CapacityTokens is the engine's KV memory; UnexplainedTokens is the part
+	// in use that belongs to no grant.
+	CapacityTokens    int
+	UnexplainedTokens int
+}
+
+// LeavingHost is a host that announced that it leaves.
+type LeavingHost struct {
+	Host string
+	// Since is when it announced it; LastWork is when it last received new
+	// work, zero if never.
+	Since    time.Time
+	LastWork time.Time
+}
+
+// Share is the part of a cell's work that an organisation gets.
+type Share struct {
+	Organisation string
+	Cell         string
+	// Due and Got are fractions of the cell's work, from 0 to 1.
+	Due, Got float64
+	// Waiting is the number of its requests in the queue.
+	Waiting int
+}
+
+// Conditions returns the table of conditions over the sources.
+func Conditions(s Sources) []Condition {
+	table := []struct {
+		Condition
+		supplied bool
+	}{
+		{Condition{"late_request", InTime, 0, "compare the load of the cells with the time limits; see the page on alarms", s.events(s.LateRequests, eventWindow, "%d requests ended after their time limit")}, s.LateRequests != nil},
+		{Condition{"share_below_due", InTime, shareHold, "look for an organisation with unusual load in the list of organisations, and check weights", s.shares}, s.Shares != nil},
+		{Condition{"unexplained_memory", MemoryReturns, memoryHold, "list the streams of the engine; restart the engine if the memory does not return", s.memory}, s.Memory != nil},
+		{Condition{"broken_answer", WholeAnswer, 0, "keep a dump of the node and report a defect", s.events(s.BrokenAnswers, eventWindow, "%d answers had a gap or reached the wrong request")}, s.BrokenAnswers != nil},
+		{Condition{"false_not_run", NotRunIsTrue, 0, "keep a dump of the node and report a defect; check the upstream's log for the request", s.events(s.FalseNotRun, eventWindow, "%d requests reported as not run were run")}, s.FalseNotRun != nil},
+		{Condition{"repeated_call", AtMostOnce, 0, "find the calls in the log by idempotency key and correct their effect; report a defect", s.events(s.RepeatedCalls, eventWindow, "%d non-idempotent calls ran twice")}, s.RepeatedCalls != nil},
+		{Condition{"claims_refused", AtMostOnce, outageHold, "restore the platform's key-value service; until then non-idempotent calls are refused as not run", s.events(s.ClaimsRefused, outageWindow, "%d claims were refused because the platform is unavailable")}, s.ClaimsRefused != nil},
+		{Condition{"work_on_leaving_host", LeavingIsQuiet, 0, "look for callers that keep addresses beyond their lifetime, and for nodes that are cut off", s.leaving}, s.Leaving != nil},
+		{Condition{"drain_too_short", DrainIsComplete, drainHold, "raise drain_timeout above the longest time limit, or postpone the stop of the host", s.drain}, s.Drain != nil},
+		{Condition{"config_behind", ConfigInForce, configBound, "check that the node reaches a peer or the platform", (&configProbe{s: s}).find}, s.Config != nil},
+	}
+	var out []Condition
+	for _, row := range table {
+		if row.supplied {
+			out = append(out, row.Condition)
+		}
+	}
+	return out
+}
+
+// events finds a counter that rose within the window. The first value read
+// is the start, not a rise.
+func (s Sources) events(counter func() uint64, window time.Duration, evidence string) func(time.Time) []Finding {
+	var (
+		started           bool
+		last, base        uint64
+		firstAt, latestAt time.Time
+	)
+	return func(now time.Time) []Finding {
+		value := counter()
+		if !started {
+			started, last = true, value
+		}
+		if value != last {
+			if latestAt.IsZero() {
+				firstAt, base = now, last
+			}
+			latestAt, last = now, value
+		}
+		if latestAt.IsZero() {
+			return nil
+		}
+		if now.Sub(latestAt) >= window {
+			latestAt = time.Time{}
+			return nil
+		}
+		return []Finding{{Subject: s.Node, Evidence: fmt.Sprintf(evidence, value-base), Since: firstAt}}
+	}
+}
+
+func (s Sources) memory(time.Time) []Finding {
+	var out []Finding
+	for _, m := range s.Memory() {
+		if float64(m.UnexplainedTokens) > memoryTolerance*float64(m.CapacityTokens) {
+			out = append(out, Finding{
+				Subject:  m.Engine,
+				Evidence: fmt.Sprintf("%d of %d tokens belong to no grant", m.UnexplainedTokens, m.CapacityTokens),
+			})
+		}
+	}
+	return out
+}
+
+func (s Sources) shares(time.Time) []Finding {
+	var out []Finding
+	for _, share := range s.Shares() {
+		if share.Waiting > 0 && share.Got < shareTolerance*share.Due {
+			out = append(out, Finding{
+				Subject:  share.Organisation + " in " + share.Cell,
+				Evidence: fmt.Sprintf("gets %.0f%% of the work, %.0f%% are due, %d requests wait", 100*share.Got, 100*share.Due, share.Waiting),
+			})
+		}
+	}
+	return out
+}
+
+func (s Sources) leaving(now time.Time) []Finding {
+	var out []Finding
+	for _, h := range s.Leaving() {
+		if h.LastWork.Sub(h.Since) > leavingGrace && now.Sub(h.LastWork) < leavingWindow {
+			out = append(out, Finding{
+				Subject:  h.Host,
+				Evidence: fmt.Sprintf("new work %s after it announced that it leaves", h.LastWork.Sub(h.Since).Round(time.Second)),
+			})
+		}
+	}
+	return out
+}
+
+func (s Sources) drain(time.Time) []Finding {
+	left, longest, draining := s.Drain()
+	if !draining || longest <= left {
+		return nil
+	}
+	return []Finding{{Subject: s.Node, Evidence: fmt.Sprintf("a request may run for %s more, but the host stops in %s", longest.Round(time.Second), left.Round(time.Second))}}
+}
+
+// configProbe remembers when each revision that is not in force was first
+// known. A steady stream of changes, each applied in time, is no finding.
+type configProbe struct {
+	s       Sources
+	pending []pendingRevision
+}
+
+type pendingRevision struct {
+	revision uint64
+	known    time.Time
+}
+
+func (p *configProbe) find(now time.Time) []Finding {
+	inForce, newest := p.s.Config()
+	for len(p.pending) > 0 && p.pending[0].revision <= inForce {
+		p.pending = p.pending[1:]
+	}
+	known := inForce
+	if n := len(p.pending); n > 0 {
+		known = p.pending[n-1].revision
+	}
+	if newest > known {
+		p.pending = append(p.pending, pendingRevision{newest, now})
+	}
+	if len(p.pending) == 0 {
+		return nil
+	}
+	return []Finding{{
+		Subject:  p.s.Node,
+		Evidence: fmt.Sprintf("revision %d is in force, revision %d is known", inForce, newest),
+		Since:    p.pending[0].known,
+	}}
+}
