Schedule by fair queueing, predicted first token and gathering

Cause: first come, first served by reported load lets one long prompt stop the queue. The weighted policy serves organisations by weighted fair queueing in lanes by prompt length, places each request on the engine with the least predicted time to first token from its own books, keeps a share of memory for shorter requests, uses cached prefixes, refuses what cannot meet its deadline and gathers several engines for the longest prompts. The first policy stays as the baseline, and a partition of engines by length is compared with both.

Conclusion: the weighted policy becomes the default.

--- /dev/null
+++ b/internal/sched/compare_test.go
@@ -0,0 +1,184 @@
+package sched
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+var (
+	seedFlag  = flag.Uint64("seed", 1, "seed of the comparison workload")
+	tableFlag = flag.Bool("table", false, "print the comparison tables")
+	quickFlag = flag.Bool("quick", false, "print only the rows for the first deployment")
+)
+
+var deployments = []struct {
+	name    string
+	cells   []int
+	weights Weights
+}{
+	{"lake tana", []int{6, 5, 5}, Weights{TimeToFirstToken: 2, HeadOfLineBlocking: 1}},
+	{"plaque platform", []int{7, 7, 6}, Weights{TimeToFirstToken: 1, HeadOfLineBlocking: 2}},
+}
+
+var allPolicies = []PolicyName{PolicyBaseline, PolicyPartitioned, PolicyWeighted}
+
+func runSim(t *testing.T, cfg simConfig) *simResult {
+	var r *simResult
+	synctest.Test(t, func(t *testing.T) { r = simulate(t, cfg) })
+	return r
+}
+
+// TestCompare guards, in its short form, against a policy that breaks an
+// invariant, loses a request or keeps books after the last one. With -table
+// it prints the comparison of docs/scheduling.md.
+func TestCompare(t *testing.T) {
+	if *tableFlag {
+		printTables(t)
+		return
+	}
+	for _, p := range allPolicies {
+		cfg := simConfig{
+			policy: p, cells: []int{6, 5}, load: 1.5, delay: time.Second, seed: *seedFlag,
+			duration: 2 * time.Minute, weights: deployments[0].weights,
+		}
+		r := runSim(t, cfg)
+		refused := 0
+		for _, n := range r.refused {
+			refused += n
+		}
+		require.Equal(t, r.offered, r.finished+refused, "%s", p)
+		require.Zero(t, r.refused[fault.TooLong], "%s", p)
+	}
+}
+
+func printTables(t *testing.T) {
+	var b strings.Builder
+	for _, d := range deployments {
+		if *quickFlag && d.name != deployments[0].name {
+			break
+		}
+		base := simConfig{cells: d.cells, weights: d.weights, seed: *seedFlag, duration: 10 * time.Minute, delay: time.Second}
+		fmt.Fprintf(&b, "\n%s, cells %v, seed %d\n", d.name, d.cells, *seedFlag)
+		tableHeader(&b)
+		for _, p := range allPolicies {
+			for _, load := range []float64{0.8, 1, 1.5, 3} {
+				cfg := base
+				cfg.policy, cfg.load = p, load
+				row(&b, cfg, runSim(t, cfg))
+			}
+		}
+		for _, p := range allPolicies {
+			for _, delay := range []time.Duration{100 * time.Millisecond, 5 * time.Second} {
+				cfg := base
+				cfg.policy, cfg.load, cfg.delay = p, 0.8, delay
+				row(&b, cfg, runSim(t, cfg))
+			}
+		}
+		blockingTable(t, &b, base)
+	}
+	t.Log(b.String())
+}
+
+func tableHeader(b *strings.Builder) {
+	fmt.Fprintf(b, "| policy | load | report delay s | first token p50/p95/p99 s: %s | between tokens p95 ms | goodput k tokens/s | finished | late | refused %% | by kind | share deviation | memory used/booked mean, booked max %% |\n", strings.Join(binNames, " | "))
+	b.WriteString("|" + strings.Repeat("---|", 11+len(binNames)) + "\n")
+}
+
+func quantiles(h *hdrhistogram.Histogram) string {
+	if h.TotalCount() == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f/%.2f/%.2f", seconds(h, 50), seconds(h, 95), seconds(h, 99))
+}
+
+func seconds(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1e6
+}
+
+func row(b *strings.Builder, cfg simConfig, r *simResult) {
+	fmt.Fprintf(b, "| %s | %.1f | %.1f |", cfg.policy, cfg.load, cfg.delay.Seconds())
+	for _, h := range r.first {
+		fmt.Fprintf(b, " %s |", quantiles(h))
+	}
+	refused, kinds := 0, make([]string, 0, len(r.refused))
+	for k, n := range r.refused {
+		refused += n
+		kinds = append(kinds, fmt.Sprintf("%s %d", k, n))
+	}
+	slices.Sort(kinds)
+	fmt.Fprintf(b, " %.0f | %.0f | %d | %d | %.1f | %s | %.2f | %.0f/%.0f, %.0f |\n",
+		seconds(r.gaps, 95)*1000, r.goodput/1000, r.finished, r.late, 100*float64(refused)/float64(max(1, r.offered)),
+		strings.Join(kinds, ", "), shareDeviation(r), 100*mean(r.memory), 100*mean(r.booked), 100*slices.Max(r.booked))
+}
+
+func mean(v []float64) float64 {
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	return sum / float64(max(1, len(v)))
+}
+
+// shareDeviation is the largest relative difference between the work an
+// organisation received and its max-min fair share of all work done.
+func shareDeviation(r *simResult) float64 {
+	total := 0.0
+	for _, v := range r.served {
+		total += v
+	}
+	fair := make([]float64, simOrgs)
+	left, open := total, map[int]bool{}
+	for i := range simOrgs {
+		open[i] = true
+	}
+	for len(open) > 0 {
+		level, capped := left/float64(len(open)), false
+		for i := range simOrgs {
+			if open[i] && r.demanded[i] <= level {
+				fair[i] = r.demanded[i]
+				left -= fair[i]
+				delete(open, i)
+				capped = true
+			}
+		}
+		if !capped {
+			for i := range open {
+				fair[i] = level
+			}
+			break
+		}
+	}
+	worst := 0.0
+	for i := range fair {
+		if fair[i] > 0 {
+			worst = max(worst, max(r.served[i]/fair[i], fair[i]/max(1, r.served[i]))-1)
+		}
+	}
+	return worst
+}
+
+func blockingTable(t *testing.T, b *strings.Builder, base simConfig) {
+	b.WriteString("\n| policy | short p95 s with long | without | blocking ratio | others' short p95 s before flood | with flood | change % |\n|---|---|---|---|---|---|---|\n")
+	for _, p := range allPolicies {
+		cfg := base
+		cfg.policy, cfg.load = p, 0.8
+		with := seconds(runSim(t, cfg).short, 95)
+		cfg.noLong = true
+		without := seconds(runSim(t, cfg).short, 95)
+		cfg.noLong, cfg.load = false, 0.5
+		calm := seconds(runSim(t, cfg).others, 95)
+		cfg.flood = true
+		flood := seconds(runSim(t, cfg).others, 95)
+		fmt.Fprintf(b, "| %s | %.3f | %.3f | %.2f | %.3f | %.3f | %+.0f |\n", p, with, without, with/without, calm, flood, 100*(flood/calm-1))
+	}
+}
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/verbenapier/verbenapier/pkg/queue"
+)
 
 // grant is the book entry of a Grant.
 type grant struct {
@@ -13,13 +17,20 @@
 	alone       bool
 	reservation string
 	shares      []share
-	work        float64
-	prompt      int
-	granted     time.Time
-	expires     time.Time
+	weight      float64
+	// work was charged for prompt and expected answer tokens; cached prompt tokens were expected on the leader.
+	work                  float64
+	prompt, limit, cached int
+	prefixes              []string
+	// predicted is the time to first token in seconds, prefillEnd the end of
+	// the prefill in seconds since the epoch.
+	predicted, prefillEnd float64
+	granted, expires      time.Time
+	node                  *queue.Node[*grant]
 	// lapsed grants were not renewed; their memory stays booked until the
 	// engine no longer lists the stream.
 	lapsed bool
+	lapse  time.Time
 	wire   Grant
 }
 
@@ -39,9 +50,3 @@
 }
 
 func (g *grant) leader() *slot { return g.shares[0].slot }
-
-// matches reports whether an engine's stream or reservation id belongs to the
-// grant.
-func (g *grant) matches(id string) bool {
-	return id != "" && (id == g.id || id == g.request.id || id == g.reservation)
-}
--- a/internal/sched/messages.go
+++ b/internal/sched/messages.go
@@ -97,6 +97,9 @@
 	PromptTokens     int    `json:"prompt_tokens"`
 	CachedTokens     int    `json:"cached_tokens"`
 	CompletionTokens int    `json:"completion_tokens"`
+	// FirstToken is the time from the start of the stream to its first token,
+	// 0 when unknown.
+	FirstToken time.Duration `json:"first_token_ns,omitempty"`
 	// Failed says that the engine was lost or refused the request.
 	Failed bool `json:"failed,omitempty"`
 }
--- /dev/null
+++ b/internal/sched/model_test.go
@@ -0,0 +1,709 @@
+package sched
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sirupsen/logrus"
+
+	"github.com/verbenapier/verbenapier/internal/engine"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// The engine model. Speeds are per engine; the scheduler does not know them.
+const (
+	modelCapacity  = 440_000
+	modelRate      = 40_000.0
+	modelQuadratic = 400_000.0
+	modelChunk     = 0.030
+	modelStepBase  = 0.008
+	modelStepSeq   = 0.00015
+	modelStepCtx   = 2.5e-8
+	modelPrefixes  = 64
+)
+
+// events is a discrete-event queue in virtual time.
+type events struct {
+	list []event
+	seq  int
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	fn  func()
+}
+
+func (e *events) Len() int { return len(e.list) }
+func (e *events) Less(i, j int) bool {
+	if !e.list[i].at.Equal(e.list[j].at) {
+		return e.list[i].at.Before(e.list[j].at)
+	}
+	return e.list[i].seq < e.list[j].seq
+}
+func (e *events) Swap(i, j int) { e.list[i], e.list[j] = e.list[j], e.list[i] }
+func (e *events) Push(x any)    { e.list = append(e.list, x.(event)) }
+func (e *events) Pop() any {
+	last := e.list[len(e.list)-1]
+	e.list = e.list[:len(e.list)-1]
+	return last
+}
+
+func (e *events) at(t time.Time, fn func()) {
+	e.seq++
+	heap.Push(e, event{t, e.seq, fn})
+}
+
+func (e *events) after(d time.Duration, fn func()) { e.at(time.Now().Add(d), fn) }
+
+// run executes events in order until none is left.
+func (e *events) run() {
+	for e.Len() > 0 {
+		ev := heap.Pop(e).(event)
+		time.Sleep(time.Until(ev.at))
+		ev.fn()
+	}
+}
+
+// modelEngine batches decoding and prefills chunks by priority.
+type modelEngine struct {
+	sim      *simulation
+	name     string
+	streams  []*modelStream
+	stepping bool
+	cache    []string
+	seq      uint64
+	pending  []engine.CacheEvent
+	step     time.Duration
+	// prefilled and prefilling measure the recent prefill speed.
+	prefilled, prefilling float64
+
+	mu       sync.Mutex
+	reserved map[string]int
+}
+
+type modelStream struct {
+	call        *simCall
+	priority    int
+	share       int
+	done        int
+	generated   int
+	started     time.Time
+	first, last time.Time
+}
+
+func (e *modelEngine) used() int {
+	n := 0
+	for _, st := range e.streams {
+		n += min(st.share, st.done+st.generated)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.reserved {
+		n += r
+	}
+	return n
+}
+
+func (e *modelEngine) start(st *modelStream) {
+	st.started = time.Now()
+	st.done = e.lookup(st.call)
+	st.call.cached = st.done
+	e.streams = append(e.streams, st)
+	slices.SortStableFunc(e.streams, func(a, b *modelStream) int { return a.priority - b.priority })
+	if !e.stepping {
+		e.stepping = true
+		e.runStep()
+	}
+}
+
+func (e *modelEngine) lookup(c *simCall) int {
+	for i, hash := range slices.Backward(c.req.Prefixes) {
+		if slices.Contains(e.cache, hash) {
+			return min(blockTokens<<i, c.req.PromptTokens-1)
+		}
+	}
+	return 0
+}
+
+// runStep decodes one token for every prefilled stream and spends the chunk
+// time on prefill in order of priority.
+func (e *modelEngine) runStep() {
+	batch, ctx := 0, 0
+	for _, st := range e.streams {
+		if st.done >= st.call.req.PromptTokens {
+			batch++
+			ctx += st.done + st.generated
+		}
+	}
+	var seconds float64
+	if batch > 0 {
+		seconds = modelStepBase + modelStepSeq*float64(batch) + modelStepCtx*float64(ctx)
+	}
+	budget := modelChunk
+	finished := map[*modelStream]bool{}
+	for _, st := range e.streams {
+		left := st.call.req.PromptTokens - st.done
+		if left <= 0 || budget <= 0 {
+			continue
+		}
+		perToken := (1 + 2*float64(st.done)/modelQuadratic) / modelRate
+		n := min(left, int(math.Ceil(budget/perToken)))
+		st.done += n
+		budget -= float64(n) * perToken
+		seconds += float64(n) * perToken
+		e.prefilled += float64(n)
+		finished[st] = st.done >= st.call.req.PromptTokens
+	}
+	if budget < modelChunk {
+		e.prefilling += seconds
+	}
+	e.step = toDuration(seconds)
+	e.sim.events.after(e.step, func() { e.endStep(finished) })
+}
+
+func (e *modelEngine) endStep(prefilled map[*modelStream]bool) {
+	now := time.Now()
+	var kept, ended []*modelStream
+	for _, st := range e.streams {
+		if done, touched := prefilled[st]; st.done < st.call.req.PromptTokens || touched && !done {
+			kept = append(kept, st)
+			continue
+		}
+		st.generated++
+		if st.first.IsZero() {
+			st.first = now
+			e.store(st.call)
+		} else {
+			e.sim.observeGap(now.Sub(st.last))
+		}
+		st.last = now
+		if st.generated >= st.call.output {
+			ended = append(ended, st)
+		} else {
+			kept = append(kept, st)
+		}
+	}
+	e.streams = kept
+	if n := e.used(); n > modelCapacity {
+		e.sim.t.Errorf("engine %s uses %d tokens", e.name, n)
+	}
+	if e.stepping = len(kept) > 0; e.stepping {
+		e.runStep()
+	}
+	for _, st := range ended {
+		e.sim.finish(st)
+	}
+}
+
+// store puts the prompt's prefixes into the cache and queues the events, of
+// which some are lost.
+func (e *modelEngine) store(c *simCall) {
+	for i, hash := range c.req.Prefixes {
+		if j := slices.Index(e.cache, hash); j >= 0 {
+			e.cache = append(slices.Delete(e.cache, j, j+1), hash)
+			continue
+		}
+		e.cache = append(e.cache, hash)
+		e.publish(kindStored, hash, blockTokens<<i)
+		if len(e.cache) > modelPrefixes {
+			e.publish(kindEvicted, e.cache[0], 0)
+			e.cache = slices.Delete(e.cache, 0, 1)
+		}
+	}
+}
+
+func (e *modelEngine) publish(kind, hash string, tokens int) {
+	e.seq++
+	if e.sim.rand.Float64() < 0.05 {
+		return
+	}
+	e.pending = append(e.pending, engine.CacheEvent{Seq: e.seq, Kind: kind, Prefix: hash, Tokens: tokens})
+}
+
+// sendReport delivers the load and the cache events of now after the delay.
+func (e *modelEngine) sendReport(c *simCell, delay time.Duration) {
+	r := engine.LoadReport{
+		Engine: e.name, CapacityTokens: modelCapacity, UsedTokens: e.used(),
+		DecodeStepMillis: e.step.Seconds() * 1000, AgeMillis: delay.Milliseconds(),
+	}
+	for _, st := range e.streams {
+		if st.done == 0 {
+			r.Waiting++
+		} else {
+			r.Running++
+		}
+	}
+	if e.prefilling > 0 {
+		r.PrefillTokensPerSecond = e.prefilled / e.prefilling
+	}
+	e.prefilled, e.prefilling = 0, 0
+	evs := e.pending
+	e.pending = nil
+	e.sim.events.after(delay, func() {
+		c.s.Report(e.name, e.name, r)
+		c.s.CacheEvents(e.name, evs)
+		c.settle()
+	})
+}
+
+// modelClient gives the scheduler its calls to the model engines.
+type modelClient struct{ engines map[string]*modelEngine }
+
+func (m modelClient) Streams(context.Context, string) ([]engine.Stream, error) { return nil, nil }
+func (m modelClient) Cancel(context.Context, string, string) error             { return nil }
+
+func (m modelClient) Reserve(_ context.Context, address, id string, tokens int, _ time.Duration) error {
+	e := m.engines[address]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reserved[id] = tokens
+	return nil
+}
+
+func (m modelClient) Unreserve(_ context.Context, address, id string) error {
+	e := m.engines[address]
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.reserved, id)
+	return nil
+}
+
+// simConfig describes one run.
+type simConfig struct {
+	policy   PolicyName
+	cells    []int
+	load     float64
+	delay    time.Duration
+	seed     uint64
+	duration time.Duration
+	weights  Weights
+	// noLong removes prompts over 100k tokens, flood adds a thousand long
+	// prompts of one organisation in the middle of the run.
+	noLong, flood bool
+}
+
+// simCall is one request of the workload.
+type simCall struct {
+	req      Request
+	arrival  time.Duration
+	output   int
+	cached   int
+	flood    bool
+	bin      int
+	deadline time.Time
+	arrived  time.Time
+	cells    []*simCell
+	tried    int
+}
+
+const (
+	simOrgs       = 10
+	longTokens    = 100_000
+	maxTokens     = 1_000_000
+	floodCalls    = 1000
+	floodTokens   = 150_000
+	simWarmup     = 60 * time.Second
+	modelWorkMean = 0.94
+)
+
+// orgShare is the part of the requests that each organisation sends.
+func orgShare(i int) float64 {
+	large := []float64{0.25, 0.2, 0.15}
+	if i < len(large) {
+		return large[i]
+	}
+	return 0.4 / (simOrgs - 3)
+}
+
+var binEdges = []int{2 << 10, 8 << 10, 32 << 10, 128 << 10, 512 << 10, math.MaxInt}
+
+var binNames = []string{"1k", "4k", "16k", "64k", "256k", "1M"}
+
+// workload draws the calls of a run. Runs of one seed see the same calls.
+func workload(cfg simConfig) []*simCall {
+	rnd := rand.New(rand.NewPCG(cfg.seed, 1))
+	engines := 0
+	for _, n := range cfg.cells {
+		engines += n
+	}
+	rate := cfg.load * float64(engines) / modelWorkMean
+	var calls []*simCall
+	for at := 0.0; ; {
+		at += rnd.ExpFloat64() / rate
+		if at >= cfg.duration.Seconds() {
+			break
+		}
+		c := drawCall(rnd, len(calls))
+		c.arrival = toDuration(at)
+		if !cfg.noLong || c.req.PromptTokens <= longTokens {
+			calls = append(calls, c)
+		}
+	}
+	if cfg.flood {
+		for i := range floodCalls {
+			c := drawCall(rnd, len(calls))
+			c.flood = true
+			c.arrival = cfg.duration/3 + time.Duration(i)*10*time.Millisecond
+			c.req.Organisation = "org-0"
+			c.req.Prefixes = nil
+			setLength(c, floodTokens)
+			calls = append(calls, c)
+		}
+	}
+	return calls
+}
+
+func drawCall(rnd *rand.Rand, i int) *simCall {
+	org, p := 0, rnd.Float64()
+	for p -= orgShare(0); p > 0 && org < simOrgs-1; p -= orgShare(org) {
+		org++
+	}
+	length := int(min(longTokens, max(1024, 2500*math.Exp(1.3*rnd.NormFloat64()))))
+	if rnd.IntN(50) == 0 {
+		length = int(longTokens * math.Exp(rnd.Float64()*math.Log(float64(maxTokens)/longTokens)))
+	}
+	limit := 128 << rnd.IntN(4)
+	c := &simCall{output: max(2, int(float64(limit)*rnd.Float64())), req: Request{
+		ID: fmt.Sprintf("r%06d", i), Entry: "n1", Organisation: fmt.Sprintf("org-%d", org), Weight: 1,
+		Model: "m", MaxTokens: limit, Fingerprint: fmt.Sprintf("f%06d", i),
+	}}
+	if rnd.Float64() < 0.3 {
+		// A prefix that the organisation shares between requests.
+		id, blocks := rnd.IntN(8), 1+rnd.IntN(3)
+		for b := range blocks {
+			c.req.Prefixes = append(c.req.Prefixes, fmt.Sprintf("org-%d/%d/%d", org, id, b))
+		}
+		length = max(length, blockTokens<<(blocks-1)+256)
+	}
+	setLength(c, length)
+	return c
+}
+
+func setLength(c *simCall, length int) {
+	c.req.PromptTokens = length
+	c.bin = slices.IndexFunc(binEdges, func(edge int) bool { return length < edge })
+	switch {
+	case length <= 64<<10:
+		c.req.Remaining = time.Minute
+	case length <= 256<<10:
+		c.req.Remaining = 5 * time.Minute
+	default:
+		c.req.Remaining = 15 * time.Minute
+	}
+}
+
+// simulation drives real schedulers with the engine model.
+type simulation struct {
+	t      *testing.T
+	cfg    simConfig
+	events events
+	rand   *rand.Rand
+	cells  []*simCell
+	open   int
+	start  time.Time
+	result simResult
+}
+
+type simResult struct {
+	first    []*hdrhistogram.Histogram // microseconds, by bin
+	short    *hdrhistogram.Histogram   // prompts up to 8k
+	others   *hdrhistogram.Histogram   // prompts up to 8k without org-0
+	gaps     *hdrhistogram.Histogram
+	offered  int
+	refused  map[fault.Kind]int
+	late     int
+	finished int
+	// tokens of prompt and answer of requests that ended in time, per second.
+	goodput  float64
+	served   [simOrgs]float64
+	demanded [simOrgs]float64
+	memory   []float64
+	booked   []float64
+}
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 3_600_000_000, 3) }
+
+func simulate(t *testing.T, cfg simConfig) *simResult {
+	sim := &simulation{t: t, cfg: cfg, rand: rand.New(rand.NewPCG(cfg.seed, 2)), start: time.Now()}
+	sim.result = simResult{
+		short: newHistogram(), others: newHistogram(), gaps: newHistogram(), refused: map[fault.Kind]int{},
+	}
+	for range binNames {
+		sim.result.first = append(sim.result.first, newHistogram())
+	}
+	for i, n := range cfg.cells {
+		sim.cells = append(sim.cells, newSimCell(sim, i, n))
+	}
+	calls := workload(cfg)
+	sim.open = len(calls)
+	for _, c := range calls {
+		sim.events.at(sim.start.Add(time.Second+c.arrival), func() { sim.arrive(c) })
+	}
+	sim.events.at(sim.start.Add(simWarmup), sim.sample)
+	sim.events.run()
+	for _, c := range sim.cells {
+		c.checkEmpty()
+	}
+	return &sim.result
+}
+
+func (sim *simulation) measured(c *simCall) bool {
+	return c.arrival >= simWarmup && !c.flood
+}
+
+func (sim *simulation) arrive(c *simCall) {
+	c.arrived = time.Now()
+	c.deadline = c.arrived.Add(c.req.Remaining)
+	if sim.measured(c) {
+		sim.result.offered++
+		var org int
+		_, _ = fmt.Sscanf(c.req.Organisation, "org-%d", &org)
+		sim.result.demanded[org] += callWork(c)
+	}
+	// Rank by organisation and first block, then the less loaded of two.
+	key := c.req.Organisation + c.req.ID
+	if len(c.req.Prefixes) > 0 {
+		key = c.req.Prefixes[0]
+	}
+	h := uint64(14695981039346656037)
+	for _, b := range []byte(key) {
+		h = (h ^ uint64(b)) * 1099511628211
+	}
+	c.cells = slices.Clone(sim.cells)
+	rnd := rand.New(rand.NewPCG(h, 3))
+	rnd.Shuffle(len(c.cells), func(i, j int) { c.cells[i], c.cells[j] = c.cells[j], c.cells[i] })
+	if len(c.cells) > 1 && c.cells[1].load() < c.cells[0].load() {
+		c.cells[0], c.cells[1] = c.cells[1], c.cells[0]
+	}
+	c.cells[0].acquire(c)
+}
+
+func callWork(c *simCall) float64 {
+	return prefillWork(c.cached, c.req.PromptTokens) + decodeTokenWork*float64(c.output)
+}
+
+func (sim *simulation) refuse(c *simCall, kind fault.Kind) {
+	if c.tried++; c.tried < len(c.cells) && (kind == fault.Overloaded || kind == fault.Unattainable) && time.Now().Before(c.deadline) {
+		c.cells[c.tried].acquire(c)
+		return
+	}
+	sim.open--
+	if sim.measured(c) {
+		sim.result.refused[kind]++
+	}
+}
+
+func (sim *simulation) observeGap(d time.Duration) { _ = sim.result.gaps.RecordValue(d.Microseconds()) }
+
+func (sim *simulation) finish(st *modelStream) {
+	c := st.call
+	cell := c.cells[c.tried]
+	sim.open--
+	now := time.Now()
+	cell.s.Release(Release{
+		Cell: cell.name, ID: cell.grants[c].ID, PromptTokens: c.req.PromptTokens,
+		CachedTokens: c.cached, CompletionTokens: st.generated, FirstToken: st.first.Sub(st.started),
+	})
+	delete(cell.grants, c)
+	cell.settle()
+	inWindow := now.Sub(sim.start) >= simWarmup && now.Sub(sim.start) <= sim.cfg.duration
+	if inWindow {
+		var org int
+		_, _ = fmt.Sscanf(c.req.Organisation, "org-%d", &org)
+		sim.result.served[org] += callWork(c)
+		if !now.After(c.deadline) {
+			sim.result.goodput += float64(c.req.PromptTokens+st.generated) / (sim.cfg.duration - simWarmup).Seconds()
+		}
+	}
+	if !sim.measured(c) {
+		return
+	}
+	sim.result.finished++
+	if now.After(c.deadline) {
+		sim.result.late++
+	}
+	first := st.first.Sub(c.arrived).Microseconds()
+	_ = sim.result.first[c.bin].RecordValue(first)
+	if c.req.PromptTokens <= defaultShortPrompt {
+		_ = sim.result.short.RecordValue(first)
+		if c.req.Organisation != "org-0" {
+			_ = sim.result.others.RecordValue(first)
+		}
+	}
+}
+
+// sample records the memory in use once a second.
+func (sim *simulation) sample() {
+	used, booked, total := 0, 0, 0
+	for _, c := range sim.cells {
+		for _, e := range c.engines {
+			used += e.used()
+			total += modelCapacity
+		}
+		for _, e := range c.s.slots {
+			booked += e.reserved
+		}
+	}
+	sim.result.memory = append(sim.result.memory, float64(used)/float64(total))
+	sim.result.booked = append(sim.result.booked, float64(booked)/float64(total))
+	if time.Since(sim.start) < sim.cfg.duration {
+		sim.events.after(time.Second, sim.sample)
+	}
+}
+
+// simCell is a scheduler with its engines and the calls that wait for it.
+type simCell struct {
+	sim     *simulation
+	name    string
+	s       *Scheduler
+	engines []*modelEngine
+	byName  map[string]*modelEngine
+	waiting []waitingCall
+	grants  map[*simCall]Grant
+	digest  Digest
+	tickAt  time.Time
+}
+
+type waitingCall struct {
+	call   *simCall
+	ticket *ticket
+}
+
+func newSimCell(sim *simulation, i, engines int) *simCell {
+	c := &simCell{sim: sim, name: fmt.Sprintf("cell-%d", i), byName: map[string]*modelEngine{}, grants: map[*simCall]Grant{}}
+	log := logrus.New()
+	log.SetLevel(logrus.ErrorLevel)
+	c.s = New(Options{
+		Cell: c.name, Owner: "n1", Engines: modelClient{c.byName}, Policy: sim.cfg.policy, RebuildWindow: -1,
+		Rand: rand.New(rand.NewPCG(sim.cfg.seed, uint64(10+i))), Weights: sim.cfg.weights, Log: log,
+		// Entry nodes renew; their failures are tested elsewhere.
+		Lifetime:  time.Hour,
+		Violation: func(name string) { sim.t.Errorf("%s: %s", sim.cfg.policy, name) },
+	})
+	infos := make([]EngineInfo, 0, engines)
+	for j := range engines {
+		e := &modelEngine{sim: sim, name: fmt.Sprintf("e%d-%d", i, j), reserved: map[string]int{}}
+		c.engines = append(c.engines, e)
+		c.byName[e.name] = e
+		infos = append(infos, EngineInfo{Name: e.name, Address: e.name})
+		c.s.SetEngines(infos)
+		c.report(e)
+	}
+	return c
+}
+
+func (c *simCell) report(e *modelEngine) {
+	e.sendReport(c, c.sim.cfg.delay)
+	if c.sim.open > 0 || time.Since(c.sim.start) < time.Second {
+		c.sim.events.after(min(c.sim.cfg.delay, time.Second), func() { c.report(e) })
+	}
+}
+
+// load orders cells as an entry node does, by the last digest it received.
+func (c *simCell) load() float64 {
+	return c.digest.Wait.Seconds() + float64(c.digest.QueuedTokens)/(modelRate*float64(len(c.engines)))
+}
+
+func (c *simCell) acquire(call *simCall) {
+	req := call.req
+	req.Cell, req.Remaining = c.name, time.Until(call.deadline)
+	c.s.mu.Lock()
+	t, err := c.s.submit(req, time.Now())
+	if err == nil {
+		c.s.pump(time.Now())
+	}
+	c.digest = c.s.digest(time.Now())
+	c.s.mu.Unlock()
+	if err != nil {
+		c.sim.refuse(call, fault.KindOf(err))
+		return
+	}
+	c.waiting = append(c.waiting, waitingCall{call, t})
+	c.sim.events.at(call.deadline, func() {
+		c.s.mu.Lock()
+		_, _ = c.s.leave(t, context.DeadlineExceeded)
+		c.s.mu.Unlock()
+		c.settle()
+	})
+	c.settle()
+}
+
+// settle makes the scheduler's calls to engines, starts granted streams and
+// plans the next tick.
+func (c *simCell) settle() {
+	c.s.mu.Lock()
+	jobs := c.s.takeJobs()
+	c.s.mu.Unlock()
+	for _, j := range jobs {
+		j(context.Background(), c.s)
+	}
+	for i := 0; i < len(c.waiting); i++ {
+		w := c.waiting[i]
+		select {
+		case <-w.ticket.done:
+		default:
+			continue
+		}
+		c.waiting = slices.Delete(c.waiting, i, i+1)
+		i--
+		if w.ticket.err != nil {
+			c.sim.refuse(w.call, fault.KindOf(w.ticket.err))
+			continue
+		}
+		g := w.ticket.grant
+		c.digest = g.Digest
+		c.grants[w.call] = g
+		c.byName[g.Engine].start(&modelStream{call: w.call, priority: g.Priority, share: g.Shares[0]})
+		if g.Reservation != "" {
+			_ = modelClient{c.byName}.Unreserve(context.Background(), g.Address, g.Reservation)
+		}
+	}
+	c.planTick()
+}
+
+func (c *simCell) planTick() {
+	if c.sim.open == 0 {
+		return
+	}
+	c.s.mu.Lock()
+	at := time.Now().Add(c.s.nextWake(time.Now()))
+	c.s.mu.Unlock()
+	if now := time.Now(); c.tickAt.After(now) && !at.Before(c.tickAt) {
+		return
+	}
+	c.tickAt = at
+	c.sim.events.at(at, func() {
+		if c.tickAt.Equal(at) {
+			c.s.mu.Lock()
+			c.s.tick(time.Now())
+			c.s.mu.Unlock()
+			c.settle()
+		}
+	})
+}
+
+// checkEmpty guards against memory that stays booked after the last request.
+func (c *simCell) checkEmpty() {
+	for _, e := range c.s.slots {
+		if e.reserved != 0 || e.booked != [classCount]int{} || e.held != 0 || len(e.grants) != 0 {
+			c.sim.t.Errorf("%s keeps %d tokens booked", e.name, e.reserved)
+		}
+	}
+	if len(c.s.tickets) != 0 || c.s.queuedTokens != 0 || len(c.s.pins) != 0 || c.s.gather != nil {
+		c.sim.t.Errorf("%s: %d tickets, %d pins left", c.name, len(c.s.tickets), len(c.s.pins))
+	}
+	for _, e := range c.engines {
+		if len(e.reserved) != 0 {
+			c.sim.t.Errorf("%s keeps %d reservations", e.name, len(e.reserved))
+		}
+	}
+}
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -1,20 +1,28 @@
 package sched
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/verbenapier/verbenapier/pkg/queue"
+)
 
 // verdict is the result of offering a ticket for placement.
-type verdict int
+type verdict = queue.Verdict
 
 const (
 	// taken says that the ticket left the queue.
-	taken verdict = iota
+	taken = queue.Taken
 	// blocked says that this ticket cannot be placed now, but others may.
-	blocked
+	blocked = queue.Skip
+	// closed says that no ticket of the lane can be placed now.
+	closed = queue.Stop
 )
 
 // order decides which waiting ticket is offered next.
 type order interface {
-	push(t *ticket, now time.Time)
+	push(t *ticket)
 	remove(t *ticket)
 	// charge accounts work done for an organisation, negative for a refund.
 	charge(org string, weight, work float64)
@@ -28,28 +36,34 @@
 	place(s *Scheduler, t *ticket, now time.Time) (*slot, verdict)
 }
 
-// policy joins an order with a placer.
+// policy joins an order with a placer. With admission, requests that cannot
+// meet their deadline or exceed their organisation's share of a full queue
+// are refused.
 type policy struct {
-	order  order
-	placer placer
+	order     order
+	placer    placer
+	admission bool
 }
 
-func newPolicy(PolicyName) policy {
-	return policy{order: &fifo{}, placer: leastReported{}}
+func newPolicy(name PolicyName) policy {
+	switch name {
+	case PolicyBaseline:
+		return policy{order: &fifo{}, placer: leastReported{}}
+	case PolicyPartitioned:
+		return policy{order: newFair(), placer: partitioned{}, admission: true}
+	}
+	return policy{order: newFair(), placer: earliest{}, admission: true}
 }
 
 // fifo offers tickets in order of arrival and stops at the first that does
 // not fit.
 type fifo struct{ tickets []*ticket }
 
-func (q *fifo) push(t *ticket, _ time.Time) { q.tickets = append(q.tickets, t) }
+func (q *fifo) push(t *ticket) { q.tickets = append(q.tickets, t) }
 
 func (q *fifo) remove(t *ticket) {
-	for i, other := range q.tickets {
-		if other == t {
-			q.tickets = append(q.tickets[:i], q.tickets[i+1:]...)
-			return
-		}
+	if i := slices.Index(q.tickets, t); i >= 0 {
+		q.tickets = slices.Delete(q.tickets, i, i+1)
 	}
 }
 
@@ -63,6 +77,49 @@
 	}
 }
 
+const (
+	// returnCredit is the work per weight that an organisation may claim from
+	// idle time: a few short requests.
+	returnCredit = 16 << 10
+	// laneLookahead bounds the organisations tried in one pass over a lane
+	// when the first ones find no memory.
+	laneLookahead = 4
+)
+
+// fair serves organisations by weighted fair queueing.
+type fair struct{ q *queue.Fair[string, *ticket] }
+
+func newFair() fair {
+	return fair{queue.NewFair[string](queue.FairOptions[*ticket]{
+		Lanes: laneCount, Credit: returnCredit, Due: (*ticket).due,
+		Before: func(a, b *ticket) bool {
+			if a.rank != b.rank {
+				return a.rank < b.rank
+			}
+			return a.req.ID < b.req.ID
+		},
+	})}
+}
+
+func (f fair) push(t *ticket) {
+	t.item = f.q.Push(t.req.Organisation, t.req.Weight, t.lane, t)
+}
+
+func (f fair) remove(t *ticket) {
+	if t.item != nil {
+		f.q.Remove(t.item)
+		t.item = nil
+	}
+}
+
+func (f fair) charge(org string, weight, work float64) { f.q.Charge(org, weight, work) }
+
+func (f fair) each(now time.Time, offer func(*ticket) verdict) {
+	for lane := range laneCount {
+		f.q.Each(lane, laneLookahead, now, offer)
+	}
+}
+
 // leastReported places on the engine whose last report shows the fewest
 // streams, without correction for grants made since.
 type leastReported struct{}
@@ -73,11 +130,114 @@
 		if !s.fits(e, t) {
 			continue
 		}
-		if best == nil || load(e) < load(best) {
+		if best == nil || reportedLoad(e) < reportedLoad(best) {
 			best = e
 		}
 	}
 	return best, blocked
 }
 
-func load(e *slot) int { return e.report.Running + e.report.Waiting }
+func reportedLoad(e *slot) int { return e.report.Running + e.report.Waiting }
+
+// earliest places on the engine with the least predicted time to first token,
+// where a cached prefix shortens the prefill. A request waits in the queue
+// while every engine has more prefill ahead than the window of its class.
+type earliest struct{}
+
+func (earliest) place(s *Scheduler, t *ticket, now time.Time) (*slot, verdict) {
+	return s.findEarliest(t, now, nil)
+}
+
+// partitioned is earliest with some engines kept for the short class and the
+// others for the longer ones.
+type partitioned struct{}
+
+func (partitioned) place(s *Scheduler, t *ticket, now time.Time) (*slot, verdict) {
+	shortEngines := (len(s.slots) + 1) / 2
+	return s.findEarliest(t, now, func(e *slot) bool {
+		return len(s.slots) == 1 || (t.class == classShort) == (e.position < shortEngines)
+	})
+}
+
+func (s *Scheduler) findEarliest(t *ticket, now time.Time, allowed func(*slot) bool) (*slot, verdict) {
+	at := s.since(now)
+	window := s.window(t.class)
+	root := s.index.root()
+	score := func(e *slot) (float64, bool) {
+		if allowed != nil && !allowed(e) || !s.fits(e, t) {
+			return 0, false
+		}
+		return s.score(e, t, at, s.prefixes.cached(e, t.req.Prefixes, now)), true
+	}
+	q := &search{
+		class: t.class, need: t.need, window: window, now: at, score: score,
+		mirror: s.opts.Rand.Uint32()&1 == 1,
+	}
+	q.work = s.est.factor[t.class] * s.prefillLeft(t, now)
+	s.index.find(q)
+	// An engine with a cached prefix may also be used when its wait exceeds
+	// the window by no more than the prefill it saves.
+	for _, p := range s.prefixes.candidates(t.req.Prefixes) {
+		e := p.slot
+		v, ok := score(e)
+		if !ok || v >= q.bestTime {
+			continue
+		}
+		saved := s.est.seconds(t.class, t.prefill-prefillWork(s.prefixes.cached(e, t.req.Prefixes, now), t.req.PromptTokens), e.rate)
+		if e.wait(t.class, at) <= window+saved {
+			q.best, q.bestTime = e, v
+		}
+	}
+	s.steps += q.steps
+	switch {
+	case q.best != nil:
+		return q.best, taken
+	case root.busy[t.class]-at > window && allowed == nil && len(s.slots) > 0 && !math.IsInf(root.busy[t.class], 1):
+		return nil, closed
+	}
+	return nil, blocked
+}
+
+// prefillLeft is the least prefill work of the ticket on any engine.
+func (s *Scheduler) prefillLeft(t *ticket, now time.Time) float64 {
+	best := 0
+	for _, p := range s.prefixes.candidates(t.req.Prefixes) {
+		best = max(best, s.prefixes.cached(p.slot, t.req.Prefixes, now))
+	}
+	return prefillWork(best, t.req.PromptTokens)
+}
+
+// longPenalty in seconds is what a running long prefill costs a short
+// request that shares the engine: about one prefill chunk.
+const longPenalty = 0.03
+
+// score is the predicted time to first token in seconds.
+func (s *Scheduler) score(e *slot, t *ticket, at float64, cached int) float64 {
+	v := e.wait(t.class, at) + e.penalty() + s.est.seconds(t.class, prefillWork(cached, t.req.PromptTokens), e.rate)
+	if t.class == classShort && e.busy[classLong]-at > longPenalty {
+		v += longPenalty * 2 * s.blockingWeight()
+	}
+	return v
+}
+
+// Windows in seconds: how much prefill of its class and above may be ahead of
+// a request on its engine. A short window keeps the order in the scheduler's
+// hands; one that is too short leaves engines idle between decisions.
+var windows = [classCount]float64{0.15, 0.5, 1}
+
+// window widens for long classes with the weight of the time to first token.
+func (s *Scheduler) window(c class) float64 {
+	if c == classShort {
+		return windows[c]
+	}
+	return windows[c] * 2 * (1 - s.blockingWeight())
+}
+
+// blockingWeight is the weight of head-of-line blocking from 0 to 1.
+func (s *Scheduler) blockingWeight() float64 {
+	sum := s.weights.TimeToFirstToken + s.weights.HeadOfLineBlocking
+	if sum <= 0 {
+		return 0.5
+	}
+	return s.weights.HeadOfLineBlocking / sum
+}
--- a/internal/sched/run.go
+++ b/internal/sched/run.go
@@ -35,7 +35,7 @@
 		for {
 			s.mu.Lock()
 			s.tick(time.Now())
-			jobs := s.takeJobs()
+			jobs, wait := s.takeJobs(), s.nextWake(time.Now())
 			s.mu.Unlock()
 			for _, j := range jobs {
 				g.Go("job", func(ctx context.Context) error {
@@ -49,12 +49,21 @@
 			case <-ctx.Done():
 				return ctx.Err()
 			case <-s.wake:
-			case <-time.After(expiryInterval):
+			case <-time.After(wait):
 			}
 		}
 	})
 	err := g.Wait()
 	s.stop()
+	// Reservations of an unfinished gathering are freed even though ctx ended.
+	s.mu.Lock()
+	jobs := s.takeJobs()
+	s.mu.Unlock()
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.opts.CallTimeout)
+	defer cancel()
+	for _, j := range jobs {
+		j(last, s)
+	}
 	return err
 }
 
@@ -76,21 +85,29 @@
 
 // tick expires grants and grants what time made possible.
 func (s *Scheduler) tick(now time.Time) {
-	for _, g := range sortedGrants(s.grants) {
-		switch {
-		case now.Before(g.expires):
-		case !g.lapsed:
-			g.lapsed = true
-			s.opts.Log.WithField("grant", g.id).Info("grant_lapsed")
-		case now.After(g.expires.Add(s.opts.Lifetime)):
+	for {
+		g, ok := s.expiry.Peek()
+		if !ok || now.Before(g.expires) {
+			break
+		}
+		if g.lapsed {
 			s.unbook(g, now)
+			continue
 		}
+		// The stream may outlive its entry node: the memory stays booked for
+		// another lifetime unless the engine no longer lists the stream.
+		g.lapsed = true
+		g.lapse = now
+		g.expires = now.Add(s.opts.Lifetime)
+		s.expiry.Fix(g.node)
+		s.opts.Log.WithField("grant", g.id).Info("grant_lapsed")
 	}
-	for id, at := range s.ended {
-		if now.Sub(at) > s.opts.Lifetime {
-			delete(s.ended, id)
-		}
+	for len(s.endedList) > 0 && now.Sub(s.endedList[0].at) > s.opts.Lifetime {
+		delete(s.ended, s.endedList[0].id)
+		s.endedList = s.endedList[1:]
 	}
+	s.est.relax(now.Sub(s.relaxed))
+	s.relaxed = now
 	s.pump(now)
 }
 
@@ -109,10 +126,14 @@
 		if err := g.Wait(); err != nil {
 			return err
 		}
+		pause := s.opts.OrphanInterval
+		if time.Now().Before(s.rebuilt) {
+			pause = expiryInterval
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(s.opts.OrphanInterval):
+		case <-time.After(pause):
 		}
 	}
 }
@@ -161,19 +182,25 @@
 	return streams, err
 }
 
-// compare frees lapsed grants whose stream is gone and returns the ids of
-// orphaned streams. None are named before the rebuild window has passed.
+// compare frees lapsed grants whose stream is gone, accounts for streams
+// without a grant and returns the ids of orphaned streams. None are named before the rebuild window has passed.
 func (s *Scheduler) compare(e *slot, streams []engine.Stream, listed time.Time) []string {
 	now := time.Now()
 	var orphans []string
-	alive := map[*grant]bool{}
+	unknown := 0
+	alive, owners := map[*grant]bool{}, streamOwners(e)
 	for _, st := range streams {
-		g := matching(e, st)
+		g := owners[st.ID]
+		if g == nil && st.Reservation != "" {
+			g = owners[st.Reservation]
+		}
 		if g != nil && !g.lapsed {
 			continue
 		}
 		if g != nil {
 			alive[g] = true
+		} else {
+			unknown += st.TokensHeld
 		}
 		detached := time.Duration(st.DetachedMillis) * time.Millisecond
 		if !st.Attached && detached >= s.opts.OrphanAge && now.After(s.rebuilt) {
@@ -181,21 +208,28 @@
 		}
 	}
 	for _, g := range sortedGrants(e.grants) {
-		if g.lapsed && !alive[g] && g.leader() == e && g.expires.Before(listed) {
+		if g.lapsed && !alive[g] && g.leader() == e && g.lapse.Before(listed) {
 			s.unbook(g, now)
 		}
 	}
+	e.listed = unknown
+	e.foreign = max(e.listed, e.unbooked)
+	s.index.update(e)
 	s.pump(now)
 	return orphans
 }
 
-func matching(e *slot, st engine.Stream) *grant {
+// streamOwners maps the ids a stream may have to its grant: that of the
+// grant, the request or the reservation.
+func streamOwners(e *slot) map[string]*grant {
+	owners := make(map[string]*grant, 2*len(e.grants))
 	for _, g := range e.grants {
-		if g.matches(st.ID) || g.matches(st.Reservation) {
-			return g
+		owners[g.id], owners[g.request.id] = g, g
+		if g.reservation != "" {
+			owners[g.reservation] = g
 		}
 	}
-	return nil
+	return owners
 }
 
 // adopt books a grant that an earlier owner of the cell made.
@@ -209,21 +243,23 @@
 	}
 	g := &grant{
 		id: h.ID, request: requestKey{h.RequestID, h.Attempt}, entry: entry, org: h.Organisation,
-		fingerprint: h.Fingerprint, alone: h.Alone, reservation: h.Reservation, work: float64(h.Tokens),
-		prompt: h.Tokens, granted: now, expires: now.Add(s.opts.Lifetime),
+		fingerprint: h.Fingerprint, alone: h.Alone, reservation: h.Reservation,
+		weight: 1, work: float64(h.Tokens), prompt: h.Tokens, granted: s.epoch, expires: now.Add(s.opts.Lifetime),
 	}
 	g.shares = s.heldShares(e, h)
 	for _, sh := range g.shares {
-		if sh.slot.exclusive != nil || h.Alone && len(sh.slot.grants) > 0 {
+		if sh.slot.exclusive != nil || h.Alone && len(sh.slot.grants) > 0 || sh.slot.draining {
 			return nil, false
 		}
-		if sh.slot.reported && sh.slot.capacity-sh.slot.reserved < sh.tokens {
+		if sh.slot.reported && sh.slot.capacity-sh.slot.reserved-sh.slot.held < sh.tokens {
 			return nil, false
 		}
 	}
 	for _, sh := range g.shares {
 		// The stream is in the reported use already.
-		sh.slot.foreign = max(0, sh.slot.foreign-sh.tokens)
+		e := sh.slot
+		e.listed, e.unbooked = max(0, e.listed-sh.tokens), max(0, e.unbooked-sh.tokens)
+		e.foreign = max(e.listed, e.unbooked)
 	}
 	s.book(g)
 	g.wire = Grant{
--- a/internal/sched/ticket.go
+++ b/internal/sched/ticket.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/verbenapier/verbenapier/pkg/queue"
+)
 
 // class groups requests by prompt length. Lower classes have a higher
 // priority on the engine.
@@ -10,6 +14,14 @@
 	classShort class = iota
 	classMedium
 	classLong
+	classCount
+)
+
+// Lanes of the queue: one for each class, and one for requests that need
+// several engines or a whole one.
+const (
+	laneGather = int(classCount)
+	laneCount  = int(classCount) + 1
 )
 
 // mediumPromptTokens is the longest prompt of classMedium.
@@ -26,10 +38,15 @@
 	return classLong
 }
 
+// keepsOut is the part of the short share of memory that a class may not use.
+var keepsOut = [classCount]float64{0, 0.5, 1}
+
 type ticketState int
 
 const (
 	stateQueued ticketState = iota
+	stateParked
+	stateGathering
 	stateDecided
 )
 
@@ -38,15 +55,28 @@
 type ticket struct {
 	req      Request
 	class    class
+	lane     int
 	arrived  time.Time
 	deadline time.Time
-	// need is the KV memory of prompt and answer in tokens, work its cost for
-	// fairness in tokens.
-	need int
-	work float64
+	// need is the KV memory of prompt and answer in tokens, work the prefill
+	// and decoding in tokens of work.
+	need          int
+	prefill, work float64
+	// seconds is the predicted prefill time on an idle engine, service the
+	// predicted time from the start to the last token.
+	seconds float64
+	service time.Duration
+	// rank orders the tickets of one organisation; lower goes first.
+	rank float64
+	// blocked is when the request first found no memory, notBefore the time
+	// before which no gathering is started for it.
+	blocked   time.Time
+	notBefore time.Time
 
 	state   ticketState
 	waiters int
+	item    *queue.Item[string, *ticket]
+	parked  *slot
 	done    chan struct{}
 	grant   Grant
 	err     error
@@ -54,6 +84,16 @@
 
 func (t *ticket) key() requestKey { return requestKey{t.req.ID, t.req.Attempt} }
 
+// latestStart is the last time at which a start is predicted to meet the
+// deadline.
+func (t *ticket) latestStart() time.Time { return t.deadline.Add(-t.service) }
+
+// rescueMargin is how long before its latest start a request goes ahead of
+// the others of its organisation.
+const rescueMargin = 2 * time.Second
+
+func (t *ticket) due() time.Time { return t.latestStart().Add(-rescueMargin) }
+
 type requestKey struct {
 	id      string
 	attempt int
