--- /dev/null
+++ b/internal/claims/call.go
@@ -0,0 +1,72 @@
+package claims
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// Call is a non-idempotent call that asks to be dispatched.
+type Call struct {
+	Service      string
+	Organisation string
+	// Key is the caller's Idempotency-Key, a UUIDv7.
+	Key string
+	// Digest identifies the request: method, path and body. A resend must have
+	// the same digest.
+	Digest [sha256.Size]byte
+	// Window is the service's idempotency window.
+	Window time.Duration
+	// Attempt is the dispatcher's number for this call. It is kept in the
+	// record for operators and decides nothing.
+	Attempt int
+}
+
+// identity is a call's key, hashed together with its organisation, so that one
+// organisation can neither use nor test for the keys of another.
+type identity [16]byte
+
+// identify checks the key against the window and the clock skew and returns
+// the identity and the time in the key, in Unix milliseconds.
+//
+// A key from the future is Invalid, which states that it was not run, only when
+// a node whose clock is ahead by the skew would refuse it as well. Between one
+// and two skews it is KeyExpired, which leaves open whether it was run.
+func (c Call) identify(now time.Time, skew time.Duration) (identity, int64, error) {
+	if c.Service == "" || c.Window <= 0 {
+		return identity{}, 0, fault.New(fault.Invalid, "the call has no service or the service has no idempotency window")
+	}
+	key, err := uuid.Parse(c.Key)
+	if err != nil || key.Version() != 7 || key.Variant() != uuid.RFC4122 || len(c.Key) != 36 {
+		return identity{}, 0, fault.New(fault.Invalid, "the idempotency key is not a UUIDv7")
+	}
+	var wide [8]byte
+	copy(wide[2:], key[:6])
+	millis := int64(binary.BigEndian.Uint64(wide[:]))
+	switch age := now.Sub(time.UnixMilli(millis)); {
+	case age > c.Window:
+		return identity{}, 0, errExpired()
+	case age < -2*skew:
+		return identity{}, 0, fault.New(fault.Invalid, "the time of the idempotency key is in the future")
+	case age < -skew:
+		return identity{}, 0, fault.New(fault.KeyExpired, "the time of the idempotency key is in the future")
+	}
+	hash := sha256.New()
+	hash.Write([]byte(c.Organisation))
+	hash.Write([]byte{0})
+	hash.Write(key[:])
+	return identity(hash.Sum(nil)[:16]), millis, nil
+}
+
+func errExpired() error {
+	return fault.New(fault.KeyExpired, "the idempotency key is older than the window")
+}
+
+// shard returns the identity's shard among a number of shards.
+func (id identity) shard(shards int) int {
+	return int(binary.BigEndian.Uint32(id[:4]) % uint32(shards))
+}
