plat: end the wait of a watch before the caller's deadline

A watch asked for a wait up to the deadline of its context, so a watch without changes was answered too late and counted as an outage. The wait now leaves one call timeout, or half of a shorter deadline. The new test fails on the old code for the 10 s and the 2 s deadline.

--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -171,7 +171,9 @@
 func (c *Client) Watch(ctx context.Context, prefix string, after Revision) (Revision, error) {
 	wait := c.options.MaxWait
 	if deadline, ok := ctx.Deadline(); ok {
-		wait = min(wait, time.Until(deadline))
+		// The answer needs time to arrive before the deadline.
+		left := time.Until(deadline)
+		wait = min(wait, max(left-c.options.CallTimeout, left/2))
 	}
 	query := url.Values{
 		"prefix": {prefix},
--- a/internal/plat/client_test.go
+++ b/internal/plat/client_test.go
@@ -170,3 +170,26 @@
 	_, err = alone.Get(t.Context(), "k")
 	require.True(t, fault.Is(err, fault.PlatformDown), err)
 }
+
+// Guards against a watch without changes that ends in a timeout: its wait must
+// end before the deadline of the context.
+func TestWatchWait(t *testing.T) {
+	asked := make(chan time.Duration, 1)
+	address := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+		asked <- wait
+		_, _ = fmt.Fprint(w, `{"revision":7}`)
+	}))
+	client, err := NewClient(Options{Addresses: []string{address}})
+	require.NoError(t, err)
+	for limit, most := range map[time.Duration]time.Duration{
+		time.Hour: defaultMaxWait, 10 * time.Second: 8 * time.Second, 2 * time.Second: time.Second,
+	} {
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		revision, err := client.Watch(ctx, "p", 7)
+		cancel()
+		require.NoError(t, err)
+		require.EqualValues(t, 7, revision)
+		require.LessOrEqual(t, <-asked, most)
+	}
+}
