Serve the operators' interface over mutual TLS

Operators need the state of a daemon and a safe way to change the configuration, also while the callers' port or the platform is overloaded. The interface has its own listener and three pools of requests: answers from memory, calls to the platform, and one document at a time, because parsing takes many times its size in memory. Certificates are reloaded for each connection; a certificate that cannot be loaded leaves the last one in use.

--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,187 @@
+package admin
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/verbenapier/verbenapier/internal/certs"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// Limits of the interface. They are independent of those of the callers' port.
+const (
+	maxHeaderBytes    = 16 << 10
+	readHeaderTimeout = 5 * time.Second
+	requestTimeout    = 30 * time.Second
+	idleTimeout       = time.Minute
+	stopTimeout       = 5 * time.Second
+	// maxLocal and maxRemote are the requests in flight that answer from
+	// memory, and that wait for the platform. The first kind must answer
+	// while the platform hangs.
+	maxLocal  = 16
+	maxRemote = 8
+	// maxApply is 1 because parsing a document takes many times its size in
+	// memory.
+	maxApply = 1
+	// maxBodyBytes is twice a document with 19,000 organisations.
+	maxBodyBytes = 16 << 20
+)
+
+// Options are the dependencies of a Server. All but Insecure and Load are
+// required.
+type Options struct {
+	State      State
+	Drainer    Drainer
+	Quarantine Quarantine
+	Config     Config
+	Alarms     Alarms
+	Log        logrus.FieldLogger
+	// Load returns the certificate authority and the certificate; it is
+	// called for each connection, so that rotated files are picked up. When
+	// it fails, the last result stays in use.
+	Load func() (*x509.CertPool, tls.Certificate, error)
+	// Insecure accepts connections without TLS from loopback addresses.
+	Insecure bool
+}
+
+// Server serves the operators' interface.
+type Server struct {
+	Options
+	local, remote, applying chan struct{}
+
+	mu   sync.Mutex
+	last *tls.Config
+}
+
+// New returns a server. Without Load and Insecure it refuses every request.
+func New(o Options) *Server {
+	return &Server{
+		Options: o,
+		local:   make(chan struct{}, maxLocal), remote: make(chan struct{}, maxRemote), applying: make(chan struct{}, maxApply),
+	}
+}
+
+// Serve answers on the listener until the context ends, then closes it. An
+// unusable certificate at the start is Invalid.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	if !s.Insecure {
+		if _, err := s.config(); err != nil {
+			return err
+		}
+		listener = tls.NewListener(listener, &tls.Config{
+			MinVersion:         tls.VersionTLS13,
+			GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return s.config() },
+		})
+	}
+	server := &http.Server{
+		Handler: s.Handler(), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout: requestTimeout, WriteTimeout: 2 * requestTimeout, IdleTimeout: idleTimeout,
+	}
+	g := group.New(ctx)
+	g.Go("admin stop", func(ctx context.Context) error {
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		defer cancel()
+		if server.Shutdown(stop) != nil {
+			return server.Close()
+		}
+		return nil
+	})
+	err := server.Serve(listener)
+	g.Stop()
+	if stopErr := g.Wait(); stopErr != nil || err == http.ErrServerClosed { //nolint:errorlint // Serve returns it unwrapped.
+		return stopErr
+	}
+	return fault.Wrap(fault.Internal, err, "serve the operators' interface")
+}
+
+// config returns the TLS configuration with the present certificate.
+func (s *Server) config() (*tls.Config, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Load == nil {
+		return nil, fault.New(fault.Invalid, "the operators' interface has no certificate")
+	}
+	pool, certificate, err := s.Load()
+	if err == nil {
+		s.last = &tls.Config{
+			MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{certificate},
+			ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+		}
+	} else if s.last != nil {
+		s.Log.WithFields(logrus.Fields{"event": "admin_certificate_kept", "error": fault.MessageOf(err)}).Warn("new certificate cannot be loaded")
+		err = nil
+	}
+	return s.last, err
+}
+
+// authorize returns Unauthenticated without and Forbidden with a certificate
+// that belongs to no operator.
+func (s *Server) authorize(r *http.Request) error {
+	if r.TLS == nil {
+		host, _, err := net.SplitHostPort(r.RemoteAddr)
+		if ip := net.ParseIP(host); err == nil && s.Insecure && ip != nil && ip.IsLoopback() {
+			return nil
+		}
+		return fault.New(fault.Unauthenticated, "a client certificate is required")
+	}
+	if len(r.TLS.VerifiedChains) == 0 {
+		return fault.New(fault.Unauthenticated, "a client certificate is required")
+	}
+	if !slices.Contains(r.TLS.VerifiedChains[0][0].Subject.OrganizationalUnit, certs.UnitOperator) {
+		return fault.New(fault.Forbidden, "the certificate's organisational unit is not %q", certs.UnitOperator)
+	}
+	return nil
+}
+
+// operator names the operator behind a request.
+func operator(r *http.Request) string {
+	if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
+		return "insecure"
+	}
+	return r.TLS.VerifiedChains[0][0].Subject.CommonName
+}
+
+// answer is the result of an endpoint; a zero status is 200.
+type answer struct {
+	status int
+	body   any
+}
+
+type endpoint func(r *http.Request) (answer, error)
+
+// serve wraps an endpoint with authorisation, a limit and a time limit.
+func (s *Server) serve(slots chan struct{}, fn endpoint) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := s.authorize(r); err != nil {
+			s.fail(w, r, err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+		case <-ctx.Done():
+			s.fail(w, r, fault.New(fault.Overloaded, "too many operators' requests in flight"))
+			return
+		}
+		r = r.WithContext(ctx)
+		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		result, err := fn(r)
+		if err != nil {
+			s.fail(w, r, err)
+			return
+		}
+		write(w, max(result.status, http.StatusOK), result.body)
+	})
+}
--- /dev/null
+++ b/internal/certs/certs.go
@@ -0,0 +1,119 @@
+// Package certs makes a certificate authority and the certificates of nodes
+// and operators, for deployments that have no authority of their own.
+package certs
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"time"
+
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// The organisational units of certificates.
+const (
+	UnitNode     = "node"
+	UnitOperator = "operator"
+)
+
+const (
+	// backdate accepts certificates on hosts whose clock is behind.
+	backdate   = 5 * time.Minute
+	serialBits = 128
+)
+
+// Pair is a certificate and its private key, both PEM.
+type Pair struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// Authority makes a self-signed certificate authority.
+func Authority(name string, validity time.Duration) (Pair, error) {
+	t := template(name, validity)
+	t.IsCA = true
+	t.BasicConstraintsValid = true
+	t.MaxPathLenZero = true
+	t.KeyUsage = x509.KeyUsageCertSign | x509.KeyUsageCRLSign
+	return issue(t, nil, nil)
+}
+
+// Node makes the certificate of a host, which serves and calls other hosts
+// under the given addresses. A malformed authority is Invalid.
+func Node(authority Pair, name string, addresses []net.IP, validity time.Duration) (Pair, error) {
+	t := template(name, validity)
+	t.Subject.OrganizationalUnit = []string{UnitNode}
+	t.IPAddresses = addresses
+	t.DNSNames = []string{name}
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	return sign(authority, t)
+}
+
+// Operator makes the client certificate of an operator. A malformed authority
+// is Invalid.
+func Operator(authority Pair, name string, validity time.Duration) (Pair, error) {
+	t := template(name, validity)
+	t.Subject.OrganizationalUnit = []string{UnitOperator}
+	t.KeyUsage = x509.KeyUsageDigitalSignature
+	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	return sign(authority, t)
+}
+
+func template(name string, validity time.Duration) *x509.Certificate {
+	now := time.Now()
+	return &x509.Certificate{
+		Subject:   pkix.Name{CommonName: name},
+		NotBefore: now.Add(-backdate),
+		NotAfter:  now.Add(validity),
+	}
+}
+
+func sign(authority Pair, t *x509.Certificate) (Pair, error) {
+	pair, err := tls.X509KeyPair(authority.Certificate, authority.Key)
+	if err != nil {
+		return Pair{}, fault.Wrap(fault.Invalid, err, "read the authority")
+	}
+	signer, ok := pair.PrivateKey.(crypto.Signer)
+	if !ok || !pair.Leaf.IsCA {
+		return Pair{}, fault.New(fault.Invalid, "the certificate belongs to no authority")
+	}
+	if t.NotAfter.After(pair.Leaf.NotAfter) {
+		return Pair{}, fault.New(fault.Invalid, "the certificate would outlive its authority, which expires at %s", pair.Leaf.NotAfter.UTC().Format(time.RFC3339))
+	}
+	return issue(t, pair.Leaf, signer)
+}
+
+// issue signs the template by the parent, or by itself without one.
+func issue(t, parent *x509.Certificate, signer crypto.Signer) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, fault.Wrap(fault.Internal, err, "make a key")
+	}
+	if t.SerialNumber, err = rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits)); err != nil {
+		return Pair{}, fault.Wrap(fault.Internal, err, "make a serial number")
+	}
+	if parent == nil {
+		parent, signer = t, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, parent, key.Public(), signer)
+	if err != nil {
+		return Pair{}, fault.Wrap(fault.Internal, err, "sign the certificate")
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, fault.Wrap(fault.Internal, err, "encode the key")
+	}
+	return Pair{
+		Certificate: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private}),
+	}, nil
+}
