Add verbenapierctl

Operators need a command line with exit codes that scripts can rely on. "key hash" reads the key from standard input only, because arguments appear in the list of processes. "cert" overwrites no file.

--- /dev/null
+++ b/internal/cmdset/secret.go
@@ -0,0 +1,141 @@
+package cmdset
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/verbenapier/verbenapier/internal/certs"
+	"github.com/verbenapier/verbenapier/internal/params"
+	"github.com/verbenapier/verbenapier/pkg/confd"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+const (
+	maxKeyBytes     = 4096
+	privateFileMode = 0o600
+	publicFileMode  = 0o644
+)
+
+// keyHash reads the key from standard input, because arguments appear in the
+// list of processes and in the history of the shell.
+func keyHash(s *session) error {
+	if _, err := s.parse(nil, "< KEY", 0, 0); err != nil {
+		return err
+	}
+	data, err := io.ReadAll(io.LimitReader(s.stdin, maxKeyBytes+1))
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "read standard input")
+	}
+	key := strings.TrimRight(string(data), "\r\n")
+	if key == "" || len(data) > maxKeyBytes || strings.ContainsAny(key, " \t\r\n") {
+		return usage("standard input must hold one key of at most %d bytes without spaces", maxKeyBytes)
+	}
+	hash := confd.KeyHash(key)
+	return s.say(map[string]string{"hash": hash}, "%s", hash)
+}
+
+// certOptions are the flags of all cert commands.
+type certOptions struct {
+	Name     string        `long:"name" required:"true" description:"common name"`
+	Validity time.Duration `long:"validity" default:"2160h" description:"how long the certificate is valid"`
+	Out      string        `long:"out" default:"." description:"directory for NAME.pem and NAME-key.pem"`
+}
+
+// signOptions are the flags of the commands that sign.
+type signOptions struct {
+	certOptions
+	Authority    string `long:"authority" required:"true" description:"certificate of the authority: a path, file:PATH, env:NAME or PEM text"`
+	AuthorityKey string `long:"authority-key" required:"true" description:"key of the authority, in the same forms"`
+}
+
+func (o signOptions) authority() (certs.Pair, error) {
+	certificate, err := params.Resolve(form(o.Authority))
+	if err != nil {
+		return certs.Pair{}, err
+	}
+	key, err := params.Resolve(form(o.AuthorityKey))
+	return certs.Pair{Certificate: certificate, Key: key}, err
+}
+
+func certAuthority(s *session) error {
+	var o certOptions
+	if _, err := s.parse(&o, "--name NAME", 0, 0); err != nil {
+		return err
+	}
+	pair, err := certs.Authority(o.Name, o.Validity)
+	return s.save(o, pair, err)
+}
+
+func certNode(s *session) error {
+	var o struct {
+		signOptions
+		IP []string `long:"ip" required:"true" description:"address of the host; may be repeated"`
+	}
+	if _, err := s.parse(&o, "--name NAME --ip ADDRESS --authority FILE --authority-key FILE", 0, 0); err != nil {
+		return err
+	}
+	var addresses []net.IP
+	for _, text := range o.IP {
+		ip := net.ParseIP(text)
+		if ip == nil {
+			return usage("--ip %q is no IP address", text)
+		}
+		addresses = append(addresses, ip)
+	}
+	authority, err := o.authority()
+	if err != nil {
+		return err
+	}
+	pair, err := certs.Node(authority, o.Name, addresses, o.Validity)
+	return s.save(o.certOptions, pair, err)
+}
+
+func certOperator(s *session) error {
+	var o signOptions
+	if _, err := s.parse(&o, "--name NAME --authority FILE --authority-key FILE", 0, 0); err != nil {
+		return err
+	}
+	authority, err := o.authority()
+	if err != nil {
+		return err
+	}
+	pair, err := certs.Operator(authority, o.Name, o.Validity)
+	return s.save(o.certOptions, pair, err)
+}
+
+// save writes a pair to two new files. It overwrites nothing.
+func (s *session) save(o certOptions, pair certs.Pair, err error) error {
+	if err != nil {
+		return err
+	}
+	if o.Name != filepath.Base(o.Name) || strings.HasPrefix(o.Name, ".") {
+		return usage("--name %q cannot name a file", o.Name)
+	}
+	base := filepath.Join(o.Out, o.Name)
+	files := map[string]string{"certificate": base + ".pem", "key": base + "-key.pem"}
+	if err := create(files["key"], pair.Key, privateFileMode); err != nil {
+		return err
+	}
+	if err := create(files["certificate"], pair.Certificate, publicFileMode); err != nil {
+		return err
+	}
+	return s.say(files, "%s\n%s", files["certificate"], files["key"])
+}
+
+func create(path string, data []byte, mode fs.FileMode) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if errors.Is(err, fs.ErrExist) {
+		return fault.New(fault.Conflict, "%s exists and is kept", path)
+	}
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "write the file")
+	}
+	_, err = f.Write(data)
+	return fault.Wrap(fault.Internal, errors.Join(err, f.Close()), "write the file")
+}
