entry: pass outcomes and suspects to the claims and the quarantine

A claim returns the function that records its outcome, and a call that reached no upstream records that it was not run. A dispatch is admitted by the quarantine under an id that is unique over the fleet.

--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -75,15 +73,9 @@
 	if !ok || !strings.EqualFold(scheme, "Bearer") || key == "" {
 		return caller{}, fault.New(fault.Unauthenticated, "an API key is needed in the header Authorization: Bearer")
 	}
-	name, ok := s.keys.lookup(doc, revision, keyHash(key))
+	name, ok := s.keys.lookup(doc, revision, confd.KeyHash(key))
 	if !ok {
 		return caller{}, fault.New(fault.Unauthenticated, "the API key belongs to no organisation")
 	}
 	return caller{organisation: name, rules: doc.Organisations[name], document: doc, revision: revision}, nil
 }
-
-// keyHash returns the hash of an API key as the configuration holds it.
-func keyHash(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return "sha256:" + hex.EncodeToString(sum[:])
-}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -111,7 +111,11 @@
 // attempt gets a grant and streams from the granted engine.
 func (c *call) attempt(ctx context.Context, out sink) error {
 	c.phase.Store("queued")
-	alone, err := c.server.options.Quarantine.Check(ctx, c.fingerprint)
+	dispatch := Dispatch{
+		ID: fmt.Sprintf("%s/%d", c.id, c.attempts), Fingerprint: c.fingerprint,
+		QuarantineTime: c.rules.QuarantineTime.Std(),
+	}
+	alone, err := c.server.options.Quarantine.Admit(ctx, dispatch)
 	if err != nil {
 		return err
 	}
@@ -131,13 +135,13 @@
 	c.release(ctx, grant, err)
 	if err == nil {
 		if alone {
-			c.server.options.Quarantine.Cleared(ctx, c.fingerprint)
+			c.clear(ctx, dispatch)
 		}
 		return nil
 	}
 	c.avoid = append(c.avoid, grant.Engine)
 	if t.crashed {
-		if blameErr := c.blame(ctx, grant, alone); blameErr != nil {
+		if blameErr := c.blame(ctx, grant, dispatch, alone); blameErr != nil {
 			return fault.Wrap(fault.UpstreamLost, blameErr, "engine %s was lost and the prompt could not be recorded as a suspect", grant.Engine)
 		}
 	}
@@ -146,11 +150,20 @@
 
 // blame records that the engine died while it ran this prompt. The prompt is
 // not dispatched again before that.
-func (c *call) blame(ctx context.Context, grant sched.Grant, alone bool) error {
+func (c *call) blame(ctx context.Context, grant sched.Grant, d Dispatch, alone bool) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), blameTimeout)
 	defer cancel()
 	c.log("engine_died").WithField("engine", grant.Engine).Warn("an engine died while it ran this request")
-	return c.server.options.Quarantine.Blame(ctx, c.service, grant.Engine, c.fingerprint, alone)
+	return c.server.options.Quarantine.Blame(ctx, grant.Engine, d, alone)
+}
+
+// clear records in the background that a suspect finished alone.
+func (c *call) clear(ctx context.Context, d Dispatch) {
+	c.background(ctx, "clear suspect", func(ctx context.Context) {
+		if err := c.server.options.Quarantine.Cleared(ctx, d); err != nil {
+			c.log("suspect_not_cleared").WithError(err).Warn("a prompt stays a suspect although it finished")
+		}
+	})
 }
 
 // release gives the grant back in the background.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -57,13 +58,23 @@
 
 // Quarantine knows the prompts that crashed engines.
 type Quarantine interface {
-	// Check returns whether the prompt must run alone, or Quarantined.
-	Check(ctx context.Context, fingerprint string) (alone bool, err error)
-	// Blame records that an engine died while it ran the prompt. It returns
+	// Admit returns whether the dispatch must run alone, or Quarantined. It
+	// waits while a suspect must not be dispatched.
+	Admit(ctx context.Context, d Dispatch) (alone bool, err error)
+	// Blame records that an engine died while it ran the dispatch. It returns
 	// after the record is committed.
-	Blame(ctx context.Context, service, engine, fingerprint string, alone bool) error
-	// Cleared records that a prompt that ran alone has finished.
-	Cleared(ctx context.Context, fingerprint string)
+	Blame(ctx context.Context, engine string, d Dispatch, alone bool) error
+	// Cleared records that a dispatch that ran alone has finished.
+	Cleared(ctx context.Context, d Dispatch) error
+}
+
+// Dispatch identifies one attempt to run a prompt.
+type Dispatch struct {
+	// ID is unique over the fleet and over time.
+	ID          string
+	Fingerprint string
+	// QuarantineTime is that of the service.
+	QuarantineTime time.Duration
 }
 
 // Limits enforces the limits of organisations and the retry budgets.
@@ -78,26 +89,29 @@
 
 // Claims makes calls that are not idempotent run at most once.
 type Claims interface {
-	// Acquire returns nil when this node may run the call now, the recorded
-	// answer of an earlier run, or an error.
-	Acquire(ctx context.Context, call Claim) (*Recorded, error)
-	// Finish records the outcome.
-	Finish(ctx context.Context, call Claim, outcome Recorded) error
+	// Acquire returns a function that records the outcome when this node may
+	// run the call now, the recorded outcome of an earlier run, or an error.
+	Acquire(ctx context.Context, call Claim) (finish FinishFunc, recorded *Recorded, err error)
 }
 
+// FinishFunc records the outcome of a call that this node may run.
+type FinishFunc func(ctx context.Context, outcome Recorded) error
+
 // Claim identifies a call that is not idempotent.
 type Claim struct {
 	Service      string
 	Organisation string
 	Key          string
 	// Digest is a hash of method, path and body.
-	Digest string
+	Digest [sha256.Size]byte
 	// Window is how long a resend with the same key is valid.
 	Window time.Duration
 }
 
-// Recorded is the answer of a call that ran.
+// Recorded is the outcome of a call.
 type Recorded struct {
+	// NotRun says that the call was not run and its claim is used up.
+	NotRun      bool
 	Status      int
 	ContentType string
 	Body        []byte
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"io"
 	"net/http"
@@ -166,13 +165,12 @@
 	if claim.Key == "" {
 		return fault.New(fault.Invalid, "the header %s is needed: this call is not idempotent", keyHeader)
 	}
-	recorded, err := p.server.options.Claims.Acquire(ctx, claim)
+	finish, recorded, err := p.server.options.Claims.Acquire(ctx, claim)
 	if err != nil {
 		return err
 	}
 	if recorded != nil {
-		w.Header().Set(replayedHeader, "true")
-		return p.answer(w, *recorded)
+		return p.replay(w, *recorded)
 	}
 	// The call may run from here on, so it is carried to its end even if the
 	// caller leaves: a resend needs its outcome.
@@ -180,19 +178,32 @@
 	defer cancel()
 	outcome, header, err := p.dispatchOnce(ctx)
 	if err != nil {
+		if fault.KindOf(err).Answer().Run == fault.RunNo {
+			p.record(ctx, finish, Recorded{NotRun: true})
+		}
 		return err
 	}
 	copyHeader(w.Header(), header)
-	answerErr := p.answer(w, outcome)
-	p.record(ctx, claim, outcome)
-	return answerErr
+	p.answer(w, outcome)
+	p.record(ctx, finish, outcome)
+	return nil
+}
+
+// replay answers a resend with the recorded outcome.
+func (p *plainCall) replay(w http.ResponseWriter, recorded Recorded) error {
+	w.Header().Set(replayedHeader, "true")
+	if recorded.NotRun {
+		return fault.New(fault.Unreachable, "the call with this key was not run; send it with a new key")
+	}
+	p.answer(w, recorded)
+	return nil
 }
 
 // record stores the outcome of a call for its resends.
-func (p *plainCall) record(ctx context.Context, claim Claim, outcome Recorded) {
+func (p *plainCall) record(ctx context.Context, finish FinishFunc, outcome Recorded) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), blameTimeout)
 	defer cancel()
-	if err := p.server.options.Claims.Finish(ctx, claim, outcome); err != nil {
+	if err := finish(ctx, outcome); err != nil {
 		p.server.options.Log.WithError(err).WithField("event", "outcome_not_recorded").WithField("service", p.service).
 			Warn("the outcome of a call was not recorded; its resends are answered as unknown")
 	}
@@ -275,7 +286,7 @@
 }
 
 // answer writes a collected or recorded answer.
-func (p *plainCall) answer(w http.ResponseWriter, recorded Recorded) error {
+func (p *plainCall) answer(w http.ResponseWriter, recorded Recorded) {
 	if recorded.BodyOmitted {
 		w.Header().Set("X-Verbenapier-Body", "not kept")
 	}
@@ -286,7 +297,6 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(p.server.options.Limits.WriteTimeout))
 	// A failed write means that the caller is gone; the outcome is recorded.
 	_, _ = w.Write(recorded.Body)
-	return nil
 }
 
 // final gives an error the kind that tells whether the call was run.
@@ -306,14 +316,14 @@
 
 // digest identifies what the call does, so that a key is not reused for a
 // different call.
-func (p *plainCall) digest() string {
+func (p *plainCall) digest() [sha256.Size]byte {
 	hash := sha256.New()
 	for _, part := range []string{p.request.Method, p.path, p.request.URL.RawQuery} {
 		_, _ = io.WriteString(hash, part)
 		_, _ = hash.Write([]byte{0})
 	}
 	_, _ = hash.Write(p.body)
-	return hex.EncodeToString(hash.Sum(nil)[:16])
+	return [sha256.Size]byte(hash.Sum(nil))
 }
 
 // copyHeader copies all end-to-end headers.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,106 +1,146 @@
 #!/usr/bin/env bash
-# Runs the stand-ins of a small deployment on loopback: a platform, engines and
-# plain upstreams in three failure domains. Writes the settings of three entry
-# hosts, and runs them if DAEMON names a verbenapierd binary. Ends with Ctrl-C.
-#
-# Variables: ENGINES engines per failure domain (2), PLAIN upstreams per failure
-# domain (1), SCALE factor on modelled times (0.2), PORT first port (7100),
-# DAEMON path of verbenapierd (none).
+# Starts a local deployment on loopback (a platform, six engines in three
+# failure domains, two plain upstreams, three daemons), applies a configuration
+# and sends prompts of very unlike lengths through it. Everything that it starts
+# ends with it. Environment:
+#   DURATION   length of the load, default 20s
+#   RATE       requests a second, default 8
+#   MIX        prompt lengths and weights, default 1k:80,16k:15,300k:5
+#   KILL       name of a process to kill in the middle of the load, such as
+#              node-b or engine-2
+#   KEEP       set to keep the deployment running after the load until Ctrl-C
 set -euo pipefail
 cd "$(dirname "$0")/.."
-engines=${ENGINES:-2} plain=${PLAIN:-1} scale=${SCALE:-0.2} port=${PORT:-7100}
+bin=$PWD/bin
+run=$(mktemp -d "${TMPDIR:-/tmp}/verbenapier.XXXXXX")
+duration=${DURATION:-20s}
+rate=${RATE:-8}
+mix=${MIX:-1k:80,16k:15,300k:5}
+base=${PORT:-18400}
+platform=127.0.0.1:$base
+key=demo-key
 domains=(north-jetty harbour-office warehouse-east)
-run=run/demo
-mkdir -p "$run" bin
-(cd emul && go build -o ../bin/ ./cmd/...)
+declare -A pids
 
-pids=()
-stop() {
-  trap - EXIT
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait
+cleanup() {
+  for name in "${!pids[@]}"; do kill "${pids[$name]}" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  echo "logs are in $run"
 }
-trap stop EXIT
-trap 'exit 0' INT TERM
+trap cleanup EXIT
 
-# start NAME COMMAND... runs a command with its log in $run/NAME.log.
-start() {
+start() { # name command...
   local name=$1
   shift
   "$@" >"$run/$name.log" 2>&1 &
-  pids+=($!)
+  pids[$name]=$!
 }
 
-# answers URL waits until a server answers.
-answers() {
-  for _ in $(seq 100); do
-    if curl -fsS -o /dev/null "$1" 2>/dev/null; then return; fi
-    sleep 0.1
+await() { # what command...
+  local what=$1
+  shift
+  for _ in $(seq 1 150); do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep 0.2
   done
-  echo "no answer from $1; see $run" >&2
+  echo "$what did not become ready; see $run" >&2
   exit 1
 }
 
-platform=127.0.0.1:$port
-hosts=()
-upstreams=()
-checks=()
-next=$((port + 1))
-
-# host NAME ROLE SERVICE ADDRESS DOMAIN [PEER] adds an entry of the host list.
-host() {
-  hosts+=("{\"name\":\"$1\",\"role\":\"$2\",\"service\":\"$3\",\"address\":\"$4\",\"failure_domain\":\"$5\",\"peer_address\":\"${6:-}\",\"state\":\"live\"}")
-}
-
-for domain in "${domains[@]}"; do
-  for i in $(seq "$engines"); do
-    name=$domain-engine-$i address=127.0.0.1:$next
-    start "$name" bin/vbstand --listen "$address" engine --name "$name" --model lake-assistant:4 \
-      --time-scale "$scale" --check-fence --crash-marker CRASH --platform "http://$platform"
-    host "$name" engine assistant "$address" "$domain"
-    checks+=("http://$address/v1/health")
-    next=$((next + 1))
+# The host list of the platform.
+{
+  echo '{"hosts":['
+  for i in 0 1 2 3 4 5; do
+    echo "{\"name\":\"engine-$i\",\"role\":\"engine\",\"service\":\"assistant\",\"address\":\"127.0.0.1:$((base + 10 + i))\",\"failure_domain\":\"${domains[$((i % 3))]}\",\"state\":\"live\"},"
+  done
+  for i in 0 1; do
+    echo "{\"name\":\"desk-$i\",\"role\":\"plain\",\"service\":\"mooring-desk\",\"address\":\"127.0.0.1:$((base + 20 + i))\",\"failure_domain\":\"${domains[$i]}\",\"state\":\"live\"},"
   done
-  for i in $(seq "$plain"); do
-    name=$domain-desk-$i address=127.0.0.1:$next
-    start "$name" bin/vbstand --listen "$address" plain --name "$name" --latency 20ms --jitter 20ms
-    host "$name" plain mooring-desk "$address" "$domain"
-    upstreams+=(--upstream "$address")
-    checks+=("http://$address/v1/health")
-    next=$((next + 1))
+  sep=""
+  for i in 0 1 2; do
+    n=$(printf '%s' abc | cut -c$((i + 1)))
+    echo "$sep{\"name\":\"node-$n\",\"role\":\"entry\",\"address\":\"127.0.0.1:$((base + 30 + i * 3))\",\"peer_address\":\"127.0.0.1:$((base + 31 + i * 3))\",\"failure_domain\":\"${domains[$i]}\",\"state\":\"live\"}"
+    sep=","
   done
+  echo ']}'
+} >"$run/hosts.json"
+
+start platform "$bin/vbstand" platform --listen "$platform" --hosts "$run/hosts.json"
+for i in 0 1 2 3 4 5; do
+  start "engine-$i" "$bin/vbstand" engine --name "engine-$i" --listen "127.0.0.1:$((base + 10 + i))" \
+    --model assistant-large:1 --platform "http://$platform"
+done
+for i in 0 1; do
+  start "desk-$i" "$bin/vbstand" plain --name "desk-$i" --listen "127.0.0.1:$((base + 20 + i))"
 done
 
-entries=()
-for domain in "${domains[@]}"; do
-  name=$domain-1 address=127.0.0.1:$next peer=127.0.0.1:$((next + 1))
-  cat >"$run/$name.json" <<END
+# Certificates for the daemons and for an operator.
+(cd "$run" && "$bin/verbenapierctl" cert authority >/dev/null)
+for n in a b c; do
+  i=$(($(printf '%d' "'$n") - 97))
+  (cd "$run" && "$bin/verbenapierctl" cert node "node-$n" >/dev/null)
+  cat >"$run/node-$n.json" <<JSON
+// Settings of node-$n in the local deployment.
 {
-  "name": "$name",
-  "failure_domain": "$domain",
-  "listen": "$address",
-  "peer_listen": "$peer",
-  "admin_listen": "127.0.0.1:$((next + 2))",
+  "name": "node-$n",
+  "failure_domain": "${domains[$i]}",
+  "listen": "127.0.0.1:$((base + 30 + i * 3))",
+  "peer_listen": "127.0.0.1:$((base + 31 + i * 3))",
+  "admin_listen": "127.0.0.1:$((base + 32 + i * 3))",
   "platform": ["http://$platform"],
-  "insecure": true,
-  "log_format": "text",
+  "tls": {
+    "ca": "file:$run/ca.pem",
+    "certificate": "file:$run/node-$n.pem",
+    "key": "file:$run/node-$n-key.pem",
+  },
 }
-END
-  host "$name" entry "" "$address" "$domain" "$peer"
-  entries+=(--address "$address")
-  next=$((next + 3))
+JSON
+  start "node-$n" "$bin/verbenapierd" --settings "$run/node-$n.json"
 done
+(cd "$run" && "$bin/verbenapierctl" cert operator demo >/dev/null)
 
-(IFS=, && echo "{\"hosts\":[${hosts[*]}]}") >"$run/hosts.json"
-start platform bin/vbstand --listen "$platform" platform --hosts "$run/hosts.json"
-for url in "http://$platform/hosts" "${checks[@]}"; do answers "$url"; done
-if [ -n "${DAEMON:-}" ]; then
-  for domain in "${domains[@]}"; do start "$domain-1" "$DAEMON" --settings "$run/$domain-1.json"; done
-fi
+ctl() {
+  "$bin/verbenapierctl" --address "127.0.0.1:$((base + 32))" --ca "$run/ca.pem" \
+    --certificate "$run/demo.pem" --key "$run/demo-key.pem" "$@"
+}
+
+hash=$(printf '%s' "$key" | "$bin/verbenapierctl" key hash)
+cat >"$run/configuration.json" <<JSON
+{
+  "services": {
+    "assistant": {
+      "kind": "engine", "models": ["assistant-large"], "time_limit": "60s", "max_time_limit": "10m",
+      "short_prompt_tokens": 4096, "weights": {"time_to_first_token": 3, "head_of_line_blocking": 1},
+    },
+    "mooring-desk": {
+      "kind": "plain", "time_limit": "10s", "max_time_limit": "60s", "idempotency_window": "24h",
+      "routes": [
+        {"method": "GET", "path": "/berths/{berth}", "idempotent": true},
+        {"method": "POST", "path": "/bookings", "idempotent": false},
+      ],
+    },
+  },
+  "models": {"assistant-large": {"version": "1"}},
+  "organisations": {"lake-tana": {"keys": ["$hash"], "weight": 1}},
+}
+JSON
 
-echo "platform  http://$platform"
-echo "hosts     $run/hosts.json"
-echo "logs      $run/*.log"
-echo "load      bin/vbload ${entries[*]} ${upstreams[*]} --key KEY --model lake-assistant --plain-share 0.1 --plain-path /services/mooring-desk/bookings"
-echo "running; Ctrl-C ends it"
-wait
+await "the operators' interface" ctl node list
+ctl config apply "$run/configuration.json" --base 0
+ready() { curl -fsS -H "Authorization: Bearer $key" "http://127.0.0.1:$((base + 30 + $1 * 3))/v1/models" | grep -q assistant-large; }
+for i in 0 1 2; do await "node $i" ready "$i"; done
+ctl node list
+ctl cell list
+
+if [ -n "${KILL:-}" ]; then
+  (sleep $((${duration%s} / 2)) && echo "killing $KILL" && kill -9 "${pids[$KILL]}") &
+fi
+"$bin/vbload" --address "127.0.0.1:$((base + 30))" --address "127.0.0.1:$((base + 33))" --address "127.0.0.1:$((base + 36))" \
+  --key "$key" --model assistant-large --rate "$rate" --duration "$duration" --mix "$mix" --timeout 60s \
+  --plain-share 0.1 --plain-path /services/mooring-desk/bookings \
+  --upstream "127.0.0.1:$((base + 20))" --upstream "127.0.0.1:$((base + 21))"
+ctl alarm list
+if [ -n "${KEEP:-}" ]; then
+  echo "the deployment runs until Ctrl-C"
+  wait
+fi
