--- a/emul/internal/engine/peers.go
+++ b/emul/internal/engine/peers.go
@@ -20,7 +20,10 @@
 }
 
 // Peers reaches other engines over HTTP.
-type Peers struct{ client http.Client }
+type Peers struct{ client *http.Client }
+
+// NewPeers returns peers that are called through client.
+func NewPeers(client *http.Client) *Peers { return &Peers{client: client} }
 
 // Import implements batch.Peers.
 func (p *Peers) Import(ctx context.Context, address string, req batch.Import) (int, error) {
--- a/emul/internal/engine/server_test.go
+++ b/emul/internal/engine/server_test.go
@@ -27,10 +27,15 @@
 		sw := fault.NewSwitch(log, 1, func() {})
 		cfg := batch.DefaultConfig()
 		cfg.Models, cfg.CheckFence, cfg.Control = []batch.Model{{Name: "base", Version: "1"}}, true, sw
+		// Every address is that of the engine itself, so that it is its own
+		// member.
+		self := &http.Client{}
+		cfg.Peers = engine.NewPeers(self)
 		model := batch.New(cfg)
 		var group sync.WaitGroup
 		group.Go(func() { model.Run(t.Context()) })
 		client, stop := serve.Memory(engine.New(log, model), sw)
+		self.Transport = client.Transport
 		fn(t, func(method, path, body string) (int, string) {
 			req, err := http.NewRequestWithContext(t.Context(), method, "http://e"+path, strings.NewReader(body))
 			require.NoError(t, err)
@@ -111,3 +116,23 @@
 		assert.Contains(t, answer, `"done":true`)
 	})
 }
+
+// Guards against a leader and a member that disagree on the calls between them.
+func TestMemberOverHTTP(t *testing.T) {
+	run(t, func(t *testing.T, call func(method, path, body string) (int, string)) {
+		call("POST", "/v1/reservations", `{"id":"mine","tokens":1000}`)
+		start := `{"id":"a","model":"base","reservation":"mine","members":["m"],"max_tokens":1,"prompt":"`
+		time.AfterFunc(time.Second, func() {
+			_, held := call("GET", "/v1/kv", "")
+			assert.Contains(t, held, `{"id":"a","kind":"import","tokens":199001,"expires_ms":9000}`)
+		})
+		status, answer := call("POST", "/v1/streams", start+strings.Repeat("x", 800_000)+`"}`)
+		assert.Equal(t, http.StatusOK, status)
+		assert.Contains(t, answer, `"finish_reason":"length"`)
+		synctest.Wait()
+		_, held := call("GET", "/v1/kv", "")
+		assert.Equal(t, `{"kv":[]}`, strings.TrimSpace(held))
+		status, answer = call("POST", "/v1/streams", strings.Replace(start, `"a"`, `"b"`, 1)+strings.Repeat("x", 4_000_000)+`"}`)
+		assert.Equal(t, http.StatusTooManyRequests, status, answer)
+	})
+}
--- a/emul/internal/stand/stand.go
+++ b/emul/internal/stand/stand.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -105,7 +106,7 @@
 		StepPerContext: o.StepPerContext, TimeScale: o.TimeScale, LoadLag: o.LoadLag, EventLag: o.EventLag,
 		EventGap: o.EventGap, Seed: env.Common.Seed, CheckFence: o.CheckFence, Role: o.Role,
 		CrashMarker: o.CrashMarker, Crash: env.Crash, LoadTime: o.LoadTime,
-		Peers: &engine.Peers{}, Control: env.Switch,
+		Peers: engine.NewPeers(&http.Client{}), Control: env.Switch,
 	}
 	for _, m := range o.Models {
 		name, version, _ := strings.Cut(m, ":")
