entry: continue an answer from its own beginning after an engine is lost

The next attempt sends the answer so far at the end of the prompt, so the engine generates from the lost token on. Generating the whole answer again and comparing it cost the decoding a second time and failed with engines that sample.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -48,7 +48,8 @@
 	arrived      time.Time
 	deadline     time.Time
 
-	// pieces are the parts of the answer passed to the caller so far.
+	// pieces are the parts of the answer passed to the caller so far, a token
+	// each.
 	pieces []string
 	// dispatched says that an engine may have begun the request.
 	dispatched bool
@@ -241,6 +242,7 @@
 	entry := c.log("request_ended").WithFields(fields)
 	if late := time.Since(c.deadline); late > lateTolerance {
 		scope.Counter("requests_late").Inc(1)
+		c.server.late.Add(1)
 		entry.WithField("late", late.String()).Error("the request ended after its time limit")
 		return
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -179,6 +179,7 @@
 	inflight atomic.Int64
 	leaving  atomic.Bool
 	sequence atomic.Uint64
+	late     atomic.Uint64
 	digests  digests
 
 	mu    sync.Mutex
@@ -222,9 +223,15 @@
 // Leave makes the server refuse new requests. Requests in flight go on.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
+// Leaving reports whether Leave was called.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 { return s.inflight.Load() }
 
+// Late returns the number of requests that ended after their time limit.
+func (s *Server) Late() uint64 { return s.late.Load() }
+
 // Held returns the grants that this node holds in a cell.
 func (s *Server) Held(cell string) []sched.Held { return s.ledger.held(cell) }
 
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/verbenapier/verbenapier/internal/engine"
@@ -14,6 +15,9 @@
 // connection was lost.
 const resumeTries = 3
 
+// finishLength is the finish reason of an answer that reached its length.
+const finishLength = "length"
+
 // transfer moves one stream from an engine to the caller.
 type transfer struct {
 	call  *call
@@ -21,8 +25,8 @@
 	out   sink
 	// next is the sequence number of the next frame.
 	next int
-	// piece is the index of the next piece of the answer.
-	piece int
+	// base is the number of pieces that earlier attempts passed on.
+	base int
 	// crashed says that the engine died under the stream.
 	crashed bool
 	// held says that the engine may hold the stream.
@@ -32,6 +36,11 @@
 // run starts the stream and passes it on to its end. A lost connection is
 // replaced, and the stream resumed at the next sequence number.
 func (t *transfer) run(ctx context.Context) error {
+	t.base = len(t.call.pieces)
+	if t.base >= t.call.maxTokens {
+		// Only the end of the answer was lost.
+		return t.finish(engine.Frame{FinishReason: finishLength})
+	}
 	// The stream may outlive its reader on the engine, so it is canceled there
 	// unless it came to its end.
 	defer t.cleanUp(ctx)
@@ -51,13 +60,15 @@
 	}
 }
 
-// start starts the stream. When the reply was lost the stream may exist, so it
-// is attached to rather than started again.
+// start starts the stream. After the loss of an engine the answer so far is
+// part of the prompt, so the next token is the one that was lost. When the
+// reply to the start was lost the stream may exist, so it is attached to rather
+// than started again.
 func (t *transfer) start(ctx context.Context) (Frames, error) {
 	c := t.call
 	reader, err := c.server.options.Engines.Start(ctx, t.grant.Address, engine.StartRequest{
-		ID: t.grant.ID, Attempt: c.attempts, Organisation: c.scope, Model: c.model, Prompt: c.prompt,
-		MaxTokens: c.maxTokens, Priority: t.grant.Priority,
+		ID: t.grant.ID, Attempt: c.attempts, Organisation: c.scope, Model: c.model,
+		Prompt: c.prompt + strings.Join(c.pieces, ""), MaxTokens: c.maxTokens - t.base, Priority: t.grant.Priority,
 		TimeLimitMillis: time.Until(c.deadline).Milliseconds(),
 		Reservation:     t.grant.Reservation, Members: t.grant.Members,
 	})
@@ -145,17 +156,9 @@
 	}
 }
 
-// deliver passes a piece on. A piece that an earlier attempt already passed on
-// is compared instead: an answer continues only if it is the same answer.
+// deliver passes a piece on.
 func (t *transfer) deliver(piece string) error {
 	c := t.call
-	if t.piece < len(c.pieces) {
-		if c.pieces[t.piece] != piece {
-			return fault.New(fault.UpstreamFailed, "the engine was lost and the answer could not be continued")
-		}
-		t.piece++
-		return nil
-	}
 	if err := t.out.text(piece); err != nil {
 		return err
 	}
@@ -163,22 +166,22 @@
 		c.firstPiece = time.Now()
 	}
 	c.pieces = append(c.pieces, piece)
-	t.piece++
 	return nil
 }
 
-// finish ends the answer with the engine's usage figures.
+// finish ends the answer with the engine's usage figures. What earlier attempts
+// generated was part of this attempt's prompt and counts as generated.
 func (t *transfer) finish(f engine.Frame) error {
 	c := t.call
-	if t.piece < len(c.pieces) {
-		return fault.New(fault.UpstreamFailed, "the engine was lost and the answer could not be continued")
-	}
+	prompt := max(f.PromptTokens-t.base, 0)
+	generated := t.base + f.CompletionTokens
 	c.used = usage{
-		PromptTokens: f.PromptTokens, CompletionTokens: f.CompletionTokens,
-		TotalTokens: f.PromptTokens + f.CompletionTokens,
-		Details:     &usageDetails{CachedTokens: f.CachedTokens},
+		PromptTokens: prompt, CompletionTokens: generated, TotalTokens: prompt + generated,
+		Details: &usageDetails{CachedTokens: f.CachedTokens},
+	}
+	if t.base == 0 {
+		c.server.tokens.observe(c.model, len(c.prompt), f.PromptTokens)
 	}
-	c.server.tokens.observe(c.model, len(c.prompt), f.PromptTokens)
 	return t.out.finish(f.FinishReason, c.used)
 }
 
