Read strings and paths of the document with fewer copies

Parsing decoded every string with encoding/json and copied every key path. Strings without escapes are now taken as they are, and paths share memory.

--- a/pkg/confd/strict/check.go
+++ b/pkg/confd/strict/check.go
@@ -99,8 +99,8 @@
 	}
 }
 
-// under returns the path of a child. The result shares no memory with paths
-// of other children.
+// under returns the path of a child. It may share memory with paths of other
+// children, so a path is valid only until the next child is visited.
 func under(path []string, name string) []string {
-	return append(path[:len(path):len(path)], name)
+	return append(path, name)
 }
--- a/pkg/confd/strict/decode.go
+++ b/pkg/confd/strict/decode.go
@@ -171,7 +171,7 @@
 		return u.UnmarshalJSON(l)
 	}
 	if into.Type() == durationType {
-		parsed, err := time.ParseDuration(l.String())
+		parsed, err := time.ParseDuration(textOf(l))
 		if !isString || err != nil {
 			return errType
 		}
@@ -183,7 +183,7 @@
 		if !isString {
 			return errType
 		}
-		into.SetString(l.String())
+		into.SetString(textOf(l))
 	case reflect.Bool:
 		if string(l) != "true" && string(l) != "false" {
 			return errType
--- a/pkg/confd/strict/source.go
+++ b/pkg/confd/strict/source.go
@@ -11,6 +11,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 
@@ -198,7 +199,16 @@
 }
 
 func nameOf(m hujson.ObjectMember) string {
-	return m.Name.Value.(hujson.Literal).String()
+	return textOf(m.Name.Value.(hujson.Literal))
+}
+
+// textOf returns the text of a string literal. Literals without escapes and
+// with valid UTF-8, which are nearly all, need no decoder.
+func textOf(l hujson.Literal) string {
+	if l.Kind() == '"' && bytes.IndexByte(l, '\\') < 0 && utf8.Valid(l) {
+		return string(l[1 : len(l)-1])
+	}
+	return l.String()
 }
 
 // line returns the line of an offset.
