Include event alarms in the randomised alarm test

The test covered conditions that hold for a time. It now also draws late requests and work on leaving hosts, whose alarms last for a window after each event.

--- a/internal/alarm/alarm_test.go
+++ b/internal/alarm/alarm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,6 +32,29 @@
 	return out
 }
 
+// events draws the times of single events and the intervals, each of the
+// window after an event, in which their alarm lasts.
+func events(r *rand.Rand, window, end time.Duration) (times []time.Duration, lasting []interval) {
+	for at := Period; ; {
+		at += time.Duration(r.Int64N(int64(3 * window)))
+		if at > end {
+			return times, lasting
+		}
+		times = append(times, at)
+		if n := len(lasting); n > 0 && at <= lasting[n-1].to {
+			lasting[n-1].to = at + window
+		} else {
+			lasting = append(lasting, interval{at, at + window})
+		}
+	}
+}
+
+// past returns how many of the times have come.
+func past(times []time.Duration, now time.Duration) int {
+	n, _ := slices.BinarySearch(times, now+1)
+	return n
+}
+
 // at returns the interval that contains the time.
 func at(intervals []interval, t time.Duration) (interval, bool) {
 	for _, i := range intervals {
@@ -41,7 +65,7 @@
 	return interval{}, false
 }
 
-// Guards against false alarms and missed ones: random faults of every kind
+// Guards against false alarms and missed ones: random faults of six kinds
 // run for six hours of virtual time, and an independent rule says at each moment
 // which alarms must be active and which must not. Between both lies one
 // evaluation period.
@@ -53,11 +77,15 @@
 			holds := map[string]time.Duration{
 				"unexplained_memory": 45 * time.Second, "share_below_due": 30 * time.Second,
 				"config_behind": 13 * time.Second, "drain_too_short": 5 * time.Second,
+				"late_request": 0, "work_on_leaving_host": 0,
 			}
 			scripts := map[string][]interval{}
 			for _, name := range []string{"unexplained_memory", "share_below_due", "config_behind", "drain_too_short"} {
 				scripts[name] = script(r, holds[name], end)
 			}
+			late, lateLasting := events(r, time.Minute, end)
+			work, workLasting := events(r, 15*time.Second, end)
+			scripts["late_request"], scripts["work_on_leaving_host"] = lateLasting, workLasting
 			start := time.Now()
 			faulty := func(name string) bool {
 				_, ok := at(scripts[name], time.Since(start))
@@ -79,6 +107,14 @@
 					}
 					return []Share{{"a", "c", 0.5, got, 3}, {"idle", "c", 0.5, 0, 0}}
 				},
+				LateRequests: func() uint64 { return uint64(past(late, time.Since(start))) },
+				Leaving: func() []LeavingHost {
+					host := LeavingHost{Host: "h", Since: start.Add(-time.Minute)}
+					if n := past(work, time.Since(start)); n > 0 {
+						host.LastWork = start.Add(work[n-1])
+					}
+					return []LeavingHost{host}
+				},
 				Drain: func() (time.Duration, time.Duration, bool) {
 					return time.Minute, 2 * time.Minute, faulty("drain_too_short")
 				},
