--- /dev/null
+++ b/internal/poison/fake_test.go
@@ -0,0 +1,172 @@
+package poison
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/verbenapier/verbenapier/internal/plat"
+	"github.com/verbenapier/verbenapier/internal/wire"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// dice is a random source that several goroutines may use.
+type dice struct {
+	mu   sync.Mutex
+	rand *rand.Rand
+}
+
+func newDice(seed uint64) *dice { return &dice{rand: rand.New(rand.NewPCG(seed, seed))} }
+
+func (d *dice) float() float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rand.Float64()
+}
+
+func (d *dice) below(n int) int { return int(d.float() * float64(n)) }
+
+func (d *dice) duration(limit time.Duration) time.Duration {
+	return time.Duration(d.float() * float64(limit))
+}
+
+// fakeStore is a linearizable store with outages and lost replies.
+type fakeStore struct {
+	dice *dice
+
+	mu       sync.Mutex
+	entries  map[string]plat.Entry
+	revision plat.Revision
+	down     bool
+	lost     float64
+}
+
+func newFakeStore(d *dice) *fakeStore { return &fakeStore{dice: d, entries: map[string]plat.Entry{}} }
+
+func (f *fakeStore) set(down bool, lost float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down, f.lost = down, lost
+}
+
+func (f *fakeStore) travel(ctx context.Context) error {
+	pause(ctx, f.dice.duration(4*time.Millisecond))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down || ctx.Err() != nil {
+		return fault.New(fault.PlatformDown, "the fake store is down")
+	}
+	return nil
+}
+
+func (f *fakeStore) Get(ctx context.Context, key string) (plat.Entry, error) {
+	list, err := f.List(ctx, key)
+	for _, e := range list {
+		if e.Key == key {
+			return e, nil
+		}
+	}
+	if err == nil {
+		err = fault.New(fault.NotFound, "no such key")
+	}
+	return plat.Entry{}, err
+}
+
+func (f *fakeStore) List(ctx context.Context, prefix string) ([]plat.Entry, error) {
+	if err := f.travel(ctx); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []plat.Entry
+	for key, e := range f.entries {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, e)
+		}
+	}
+	return list, nil
+}
+
+func (f *fakeStore) Put(ctx context.Context, key string, value []byte, base plat.Revision) (plat.Revision, error) {
+	if err := f.travel(ctx); err != nil {
+		return 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	roll := f.dice.float()
+	if roll < f.lost/2 {
+		return 0, fault.New(fault.ReplyLost, "lost before the effect")
+	}
+	if f.entries[key].Revision != base {
+		return 0, fault.New(fault.Conflict, "another revision")
+	}
+	f.revision++
+	f.entries[key] = plat.Entry{Key: key, Value: value, Revision: f.revision}
+	if roll < f.lost {
+		return 0, fault.New(fault.ReplyLost, "lost after the effect")
+	}
+	return f.revision, nil
+}
+
+func (f *fakeStore) Delete(context.Context, string, plat.Revision) error {
+	return fault.New(fault.Invalid, "records are not deleted")
+}
+
+func (f *fakeStore) Watch(ctx context.Context, _ string, after plat.Revision) (plat.Revision, error) {
+	for range 80 {
+		if err := f.travel(ctx); err != nil {
+			return 0, err
+		}
+		f.mu.Lock()
+		revision := f.revision
+		f.mu.Unlock()
+		if revision > after {
+			return revision, nil
+		}
+		pause(ctx, 100*time.Millisecond)
+	}
+	return after, nil
+}
+
+// fakeNet delivers calls between nodes that are not cut off.
+type fakeNet struct {
+	dice *dice
+
+	mu    sync.Mutex
+	muxes map[string]*wire.Mux
+	cut   string
+}
+
+type port struct {
+	net  *fakeNet
+	node string
+}
+
+func (p port) Call(ctx context.Context, address, method string, params, result any) error {
+	n := p.net
+	n.mu.Lock()
+	mux, cut := n.muxes[address], n.cut
+	n.mu.Unlock()
+	if mux == nil || cut == address || cut == p.node {
+		if n.dice.below(4) == 0 {
+			<-ctx.Done()
+		}
+		return fault.New(fault.Unreachable, "no connection")
+	}
+	pause(ctx, n.dice.duration(2*time.Millisecond))
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	reply, err := mux.Serve(ctx, p.node, method, raw)
+	if err != nil {
+		return err
+	}
+	if raw, err = json.Marshal(reply); err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
