--- a/internal/member/options.go
+++ b/internal/member/options.go
@@ -20,6 +20,9 @@
 	Log    logrus.FieldLogger
 	// Hosts gives the first peers; nil when the peers find this node.
 	Hosts plat.HostLister
+	// Check is called with each change of a member's state as this node sees
+	// it; nil for none. It must not block or call the table.
+	Check func(before, after Member)
 	// Without switches mechanisms off, so that a test can show that its
 	// check fails without them.
 	Without Mechanism
@@ -55,6 +58,10 @@
 	pushTimeout    = 900 * time.Millisecond
 	// suspicionTime is the time in which a suspected member can refute.
 	suspicionTime = 5 * time.Second
+	// refutationTime is how long a node has suspected a member itself before
+	// it accepts from a peer that the member is dead. A refutation takes two
+	// rounds of pushes.
+	refutationTime = 2 * time.Second
 	// stallTime is the longest gap between two ticks of a running node. After
 	// a longer one the node was paused, and silence of others proves nothing.
 	stallTime = 2 * time.Second
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -19,6 +19,7 @@
 	caller  wire.Caller
 	log     logrus.FieldLogger
 	lister  plat.HostLister
+	check   func(before, after Member)
 	without Mechanism
 	urgent  chan struct{}
 
@@ -45,6 +46,14 @@
 	suspected time.Time
 }
 
+// refutable reports whether the member has had time to refute a suspicion of
+// an incarnation before this node believes a peer that it is dead. A peer that
+// receives nothing takes everyone for dead and repeats it.
+func (r *record) refutable(incarnation uint64) bool {
+	return r.State == Leaving || r.State == Dead ||
+		r.State == Suspect && r.Incarnation == incarnation && time.Since(r.suspected) >= refutationTime
+}
+
 // Counts are totals since the start.
 type Counts struct {
 	Probes, IndirectProbes, Suspicions, Deaths, Refutations, Stalls, Surveys, Exchanges, Stale int
@@ -62,6 +71,7 @@
 		caller:  o.Caller,
 		log:     o.Log,
 		lister:  o.Hosts,
+		check:   o.Check,
 		without: o.Without,
 		urgent:  make(chan struct{}, 1),
 		random:  o.Random,
@@ -157,9 +167,7 @@
 		t.set(known, u)
 		return
 	}
-	if u.State == Dead && known.State == Alive && t.without&Refutation == 0 && u.Incarnation >= known.Incarnation {
-		// The member has had no chance to refute a suspicion that this node
-		// did not see.
+	if u.State == Dead && t.without&Refutation == 0 && u.Incarnation >= known.Incarnation && !known.refutable(u.Incarnation) {
 		u.State = Suspect
 	}
 	if u.overrides(known.Member) {
@@ -169,7 +177,7 @@
 
 // set replaces the state of a record, spreads it and tells subscribers.
 func (t *Table) set(r *record, u Member) {
-	before := r.State
+	before := r.Member
 	if u.PeerAddress == "" {
 		u.Address, u.PeerAddress, u.FailureDomain, u.Region = r.Address, r.PeerAddress, r.FailureDomain, r.Region
 	}
@@ -183,7 +191,10 @@
 	case Dead:
 		t.counts.Deaths++
 	}
-	if before != u.State {
+	if t.check != nil {
+		t.check(before, u)
+	}
+	if before.State != u.State {
 		t.log.WithFields(logrus.Fields{
 			"event": "member_state", "member": u.Name, "state": u.State, "incarnation": u.Incarnation,
 		}).Info("member changed state")
