daemon: serve a request end to end as separate processes

verbenapierd joins the membership, the configuration, the cells and their schedulers, the claims, the quarantine, the alarms, the callers' and the operators' interfaces. Limits of organisations and retry budgets count on each node alone until allowances are leased between nodes.

The engine client leaves out streams that have ended: the scheduler canceled 71 of them as orphans in one demo run.

--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -309,3 +309,14 @@
 	}
 	return list
 }
+
+// all returns the cells, sorted by name.
+func (c *cellSet) all() []cells.Cell {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]cells.Cell, 0, len(c.cells))
+	for _, name := range slices.Sorted(maps.Keys(c.cells)) {
+		list = append(list, c.cells[name])
+	}
+	return list
+}
--- /dev/null
+++ b/internal/daemon/claims.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/verbenapier/verbenapier/internal/cells"
+	"github.com/verbenapier/verbenapier/internal/claims"
+	"github.com/verbenapier/verbenapier/internal/entry"
+	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// buildClaims builds the at-most-once log.
+func (d *Daemon) buildClaims() entry.Claims {
+	d.claims = claims.New(claims.Options{
+		Store: d.store, Caller: d.caller, Node: d.settings.Name, Incarnation: d.incarnation,
+		Owner: func(service string, shard int) (member.Member, bool) {
+			return cells.OwnerOf(fmt.Sprintf("claims/%s/%d", service, shard), "", d.members.Members())
+		},
+		Logger: d.log, Scope: d.metrics.SubScope("claims"),
+	})
+	d.claims.Register(d.mux)
+	return callClaims{log: d.claims, refused: &d.claimsRefused}
+}
+
+// callClaims adapts the log to the entry package.
+type callClaims struct {
+	log *claims.Log
+	// refused counts the claims refused because the platform is unavailable.
+	refused *atomic.Uint64
+}
+
+// Acquire implements entry.Claims.
+func (c callClaims) Acquire(ctx context.Context, call entry.Claim) (entry.FinishFunc, *entry.Recorded, error) {
+	decision, err := c.log.Acquire(ctx, claims.Call{
+		Service: call.Service, Organisation: call.Organisation, Key: call.Key,
+		Digest: call.Digest, Window: call.Window, Attempt: 1,
+	})
+	if err != nil {
+		if fault.Is(err, fault.PlatformDown) {
+			c.refused.Add(1)
+		}
+		return nil, nil, err
+	}
+	switch decision.Verdict {
+	case claims.Run:
+		finish := func(ctx context.Context, r entry.Recorded) error {
+			return c.log.Finish(ctx, decision.Claim, toOutcome(r))
+		}
+		return finish, nil, nil
+	case claims.Recorded:
+		return nil, toRecorded(decision.Outcome), nil
+	}
+	return nil, nil, fault.New(fault.InProgress, "a call with this key was claimed before and its outcome is not known")
+}
+
+func toOutcome(r entry.Recorded) claims.Outcome {
+	if r.NotRun {
+		return claims.Outcome{Run: fault.RunNo}
+	}
+	return claims.Outcome{Run: fault.RunYes, Status: r.Status, ContentType: r.ContentType, Body: r.Body}
+}
+
+func toRecorded(o claims.Outcome) *entry.Recorded {
+	return &entry.Recorded{
+		NotRun: o.Run == fault.RunNo, Status: o.Status, ContentType: o.ContentType,
+		Body: o.Body, BodyOmitted: o.BodyDropped,
+	}
+}
--- /dev/null
+++ b/internal/daemon/quarantine.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/verbenapier/verbenapier/internal/admin"
+	"github.com/verbenapier/verbenapier/internal/entry"
+	"github.com/verbenapier/verbenapier/internal/poison"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// suspectPause is the mean pause before a suspect that must wait is checked
+// again.
+const suspectPause = 250 * time.Millisecond
+
+// buildQuarantine builds the registry of suspects and quarantined prompts.
+func (d *Daemon) buildQuarantine() entry.Quarantine {
+	d.poison = poison.New(poison.Options{
+		Store: d.store, Caller: d.caller, Peers: d.members.Members, Node: d.settings.Name,
+		Logger: d.log, Scope: d.metrics.SubScope("poison"),
+	})
+	d.poison.Register(d.mux)
+	return quarantine{d.poison}
+}
+
+// quarantine adapts the registry to the entry and admin packages.
+type quarantine struct{ registry *poison.Registry }
+
+// Admit implements entry.Quarantine. A suspect is reserved for this dispatch,
+// so that no other dispatch of the prompt runs meanwhile.
+func (q quarantine) Admit(ctx context.Context, d entry.Dispatch) (bool, error) {
+	fingerprint, err := poison.ParseFingerprint(d.Fingerprint)
+	if err != nil {
+		return false, err
+	}
+	for {
+		verdict, err := q.registry.Check(ctx, fingerprint)
+		if err == nil && verdict.State == poison.Alone && !verdict.Wait {
+			verdict, err = q.registry.Reserve(ctx, fingerprint, d.ID)
+		}
+		switch {
+		case err != nil && !fault.Is(err, fault.PlatformDown):
+			return false, err
+		case err == nil && verdict.State == poison.Quarantined:
+			return false, fault.New(fault.Quarantined, "the prompt crashed engines and is quarantined until %s",
+				verdict.Until.UTC().Format(time.RFC3339))
+		case err == nil && !verdict.Wait:
+			return verdict.State == poison.Alone, nil
+		}
+		if !sleep(ctx, jitter(suspectPause)) {
+			return false, fault.Wrap(fault.NotStarted, ctx.Err(), "the prompt waited as a suspect until its time limit")
+		}
+	}
+}
+
+// Blame implements entry.Quarantine.
+func (q quarantine) Blame(ctx context.Context, engine string, d entry.Dispatch, alone bool) error {
+	fingerprint, err := poison.ParseFingerprint(d.Fingerprint)
+	if err != nil {
+		return err
+	}
+	return q.registry.Blame(ctx, engine, []poison.Mark{{
+		Fingerprint: fingerprint, Dispatch: d.ID, Alone: alone, Quarantine: d.QuarantineTime,
+	}})
+}
+
+// Cleared implements entry.Quarantine.
+func (q quarantine) Cleared(ctx context.Context, d entry.Dispatch) error {
+	fingerprint, err := poison.ParseFingerprint(d.Fingerprint)
+	if err != nil {
+		return err
+	}
+	return q.registry.Cleared(ctx, fingerprint)
+}
+
+// Lift implements admin.Quarantine.
+func (q quarantine) Lift(ctx context.Context, text string) error {
+	fingerprint, err := poison.ParseFingerprint(text)
+	if err != nil {
+		return err
+	}
+	return q.registry.Lift(ctx, fingerprint)
+}
+
+// Quarantined implements admin.Quarantine.
+func (q quarantine) Quarantined(context.Context) ([]admin.Quarantined, error) {
+	records := q.registry.List()
+	list := make([]admin.Quarantined, 0, len(records))
+	for _, r := range records {
+		list = append(list, admin.Quarantined{
+			Fingerprint: r.Fingerprint.String(), State: string(r.State), Until: r.Until,
+		})
+	}
+	return list, nil
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -205,13 +206,14 @@
 	return err
 }
 
-// Streams lists the streams that the engine holds.
+// Streams lists the streams that the engine runs. Streams that ended and are
+// kept for a late reader hold no memory and are left out.
 func (c *Client) Streams(ctx context.Context, address string) ([]Stream, error) {
 	var out struct {
 		Streams []Stream `json:"streams"`
 	}
 	err := c.control(ctx, http.MethodGet, address, "/v1/streams", nil, &out)
-	return out.Streams, err
+	return slices.DeleteFunc(out.Streams, func(s Stream) bool { return s.Done }), err
 }
 
 // Load returns the engine's latest load report.
--- a/internal/engine/messages.go
+++ b/internal/engine/messages.go
@@ -43,6 +43,8 @@
 	Attached       bool   `json:"attached"`
 	DetachedMillis int64  `json:"detached_ms"`
 	Reservation    string `json:"reservation,omitempty"`
+	// Done says that the stream has ended and is kept for a late reader.
+	Done bool `json:"done,omitempty"`
 }
 
 // StartRequest is the body of POST /v1/streams.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -75,10 +75,11 @@
 done
 
 # Certificates for the daemons and for an operator.
-(cd "$run" && "$bin/verbenapierctl" cert authority >/dev/null)
+sign=(--authority "$run/ca.pem" --authority-key "$run/ca-key.pem" --out "$run")
+"$bin/verbenapierctl" cert authority --name ca --validity 8760h --out "$run" >/dev/null
 for n in a b c; do
   i=$(($(printf '%d' "'$n") - 97))
-  (cd "$run" && "$bin/verbenapierctl" cert node "node-$n" >/dev/null)
+  "$bin/verbenapierctl" cert node --name "node-$n" --ip 127.0.0.1 "${sign[@]}" >/dev/null
   cat >"$run/node-$n.json" <<JSON
 // Settings of node-$n in the local deployment.
 {
@@ -97,7 +98,7 @@
 JSON
   start "node-$n" "$bin/verbenapierd" --settings "$run/node-$n.json"
 done
-(cd "$run" && "$bin/verbenapierctl" cert operator demo >/dev/null)
+"$bin/verbenapierctl" cert operator --name demo "${sign[@]}" >/dev/null
 
 ctl() {
   "$bin/verbenapierctl" --address "127.0.0.1:$((base + 32))" --ca "$run/ca.pem" \
@@ -129,6 +130,11 @@
 ctl config apply "$run/configuration.json" --base 0
 ready() { curl -fsS -H "Authorization: Bearer $key" "http://127.0.0.1:$((base + 30 + $1 * 3))/v1/models" | grep -q assistant-large; }
 for i in 0 1 2; do await "node $i" ready "$i"; done
+first_answer() {
+  curl -fsS -H "Authorization: Bearer $key" -d '{"model":"assistant-large","prompt":"Which berths are free?","max_tokens":4}' \
+    "http://127.0.0.1:$((base + 30))/v1/completions" | grep -q text_completion
+}
+await "the first answer" first_answer
 ctl node list
 ctl cell list
 
