--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/verbenapier/verbenapier/internal/config"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/entry"
+	"github.com/verbenapier/verbenapier/internal/limits"
 	"github.com/verbenapier/verbenapier/internal/member"
 	"github.com/verbenapier/verbenapier/internal/meter"
 	"github.com/verbenapier/verbenapier/internal/params"
@@ -69,6 +70,7 @@
 	entry   *entry.Server
 	claims  *claims.Log
 	poison  *poison.Registry
+	limits  *limits.Limiter
 	alarms  *alarm.Board
 
 	meter        *meter.Meter
@@ -210,6 +212,7 @@
 	d.group.Go("renewals", d.entry.Run)
 	d.group.Go("claims", d.claims.Run)
 	d.group.Go("quarantine", d.poison.Run)
+	d.group.Go("limits", d.limits.Run)
 	d.runOperators(listeners.admin)
 	d.log.WithFields(logrus.Fields{"event": "daemon_started", "listen": listeners.callers.Addr().String()}).
 		Info("the daemon serves")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -81,6 +81,8 @@
 type Limits interface {
 	// Admit returns a function that ends the request, or RateLimited.
 	Admit(ctx context.Context, organisation string, limits confd.Organisation, tokens int) (release func(), err error)
+	// RetryAfter returns the pause that a RateLimited error asks for.
+	RetryAfter(err error) (time.Duration, bool)
 	// Admitted counts a request towards the retry budgets.
 	Admitted(service, organisation string, ratio float64)
 	// Retry reports whether a retry is within the budgets and uses it up.
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -13,7 +14,8 @@
 // runHeader says on an error whether the request was run.
 const runHeader = "X-Verbenapier-Run"
 
-// retryAfterSeconds is the pause asked of callers before they resend.
+// retryAfterSeconds is the pause asked of callers before they resend, unless
+// a limit says how long.
 const retryAfterSeconds = 1
 
 // errorBody is the error body of the OpenAI API.
@@ -65,8 +67,8 @@
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(runHeader, string(answer.Run))
-	if answer.Resend && header.Get("Retry-After") == "" {
-		header.Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	if answer.Resend {
+		header.Set("Retry-After", strconv.Itoa(s.retryAfter(err)))
 	}
 	if kind == fault.TooLarge || kind == fault.Leaving {
 		header.Set("Connection", "close")
@@ -75,3 +77,11 @@
 	// A failed write means that the caller is gone.
 	_ = json.NewEncoder(w).Encode(newErrorBody(err))
 }
+
+// retryAfter returns the pause asked of a caller, in whole seconds.
+func (s *Server) retryAfter(err error) int {
+	if after, ok := s.options.Admission.RetryAfter(err); ok {
+		return max(retryAfterSeconds, int(math.Ceil(after.Seconds())))
+	}
+	return retryAfterSeconds
+}
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -279,8 +279,9 @@
 func (f *fleet) Admit(context.Context, string, confd.Organisation, int) (func(), error) {
 	return func() {}, nil
 }
-func (f *fleet) Admitted(string, string, float64) {}
-func (f *fleet) Retry(string, string) bool        { return true }
+func (f *fleet) Admitted(string, string, float64)       {}
+func (f *fleet) Retry(string, string) bool              { return true }
+func (f *fleet) RetryAfter(error) (time.Duration, bool) { return 0, false }
 
 func (f *fleet) Addresses() []Address {
 	return []Address{{"10.0.0.2:80", "far"}, {"10.0.0.1:80", "near"}}
