dialer: open all connections through one replaceable function

The daemon takes a Network, so that tests run whole daemons on connections in memory. A failed dial is classified where it happens instead of by the type of the error that net/http returns.

--- a/cmd/verbenapierd/main.go
+++ b/cmd/verbenapierd/main.go
@@ -53,7 +53,7 @@
 	log := newLog(settings)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	d, err := daemon.New(settings, log)
+	d, err := daemon.New(settings, daemon.TCP{}, log)
 	if err == nil {
 		err = d.Run(ctx)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/verbenapier/verbenapier/internal/alarm"
 	"github.com/verbenapier/verbenapier/internal/claims"
 	"github.com/verbenapier/verbenapier/internal/config"
+	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/entry"
 	"github.com/verbenapier/verbenapier/internal/limits"
@@ -50,8 +51,29 @@
 	closeTimeout = 5 * time.Second
 )
 
+// Network opens the connections and ports of a daemon.
+type Network interface {
+	// Dial opens a connection to an address of the form host:port.
+	Dial(ctx context.Context, address string) (net.Conn, error)
+	Listen(ctx context.Context, address string) (net.Listener, error)
+}
+
+// TCP is the network of the host.
+type TCP struct{}
+
+// Dial implements Network.
+func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return dialer.TCP(ctx, address)
+}
+
+// Listen implements Network.
+func (TCP) Listen(ctx context.Context, address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+}
+
 // Daemon is one verbenapierd.
 type Daemon struct {
+	network     Network
 	settings    params.Settings
 	log         logrus.FieldLogger
 	incarnation uint64
@@ -86,12 +108,13 @@
 
 // New builds a daemon from checked settings. It opens no port and calls
 // nobody before Run.
-func New(settings params.Settings, log logrus.FieldLogger) (*Daemon, error) {
+func New(settings params.Settings, network Network, log logrus.FieldLogger) (*Daemon, error) {
 	secured, err := newPeerTLS(settings)
 	if err != nil {
 		return nil, err
 	}
 	d := &Daemon{
+		network:     network,
 		settings:    settings,
 		log:         log.WithField("node", settings.Name),
 		incarnation: uint64(time.Now().UnixMicro()),
@@ -102,11 +125,13 @@
 		draining:    make(chan struct{}),
 	}
 	d.meter, d.metrics, d.closeMetrics = meter.New("verbenapier")
-	d.store, err = plat.NewClient(plat.Options{Addresses: settings.Platform, Scope: d.metrics.SubScope("platform")})
+	d.store, err = plat.NewClient(plat.Options{
+		Addresses: settings.Platform, Transport: dialer.Transport(network.Dial), Scope: d.metrics.SubScope("platform"),
+	})
 	if err != nil {
 		return nil, err
 	}
-	d.caller = wire.NewClient(d.group, wire.DialTCP(secured.client))
+	d.caller = wire.NewClient(d.group, dialer.Secure(network.Dial, secured.client))
 	d.peers = wire.NewServer(d.group, d.mux, secured.server, d.log)
 	d.buildCluster()
 	d.buildEntry()
@@ -135,7 +160,7 @@
 	d.hosts = newHosts(d.store, d.log)
 	d.cells = &cellSet{
 		name: d.settings.Name, maxEngines: d.settings.CellEngines, hosts: d.hosts, members: d.members,
-		document: d.document, caller: d.caller, engines: engine.NewClient(nil), log: d.log,
+		document: d.document, caller: d.caller, engines: engine.NewClient(dialer.Transport(d.network.Dial)), log: d.log,
 		metrics: d.metrics.SubScope("sched"), owned: map[string]*ownedCell{},
 	}
 	d.cells.register(d.mux)
@@ -157,7 +182,7 @@
 		Directory: &directory{
 			members: d.members.Members, hosts: d.hosts, failureDomain: d.settings.FailureDomain,
 		},
-		Group: d.group, Log: d.log, Metrics: d.metrics.SubScope("entry"),
+		Dial: d.network.Dial, Group: d.group, Log: d.log, Metrics: d.metrics.SubScope("entry"),
 	})
 }
 
@@ -278,14 +303,13 @@
 			}
 		}
 	}()
-	var config net.ListenConfig
 	for _, port := range []struct {
 		address string
 		into    *net.Listener
 	}{
 		{d.settings.Listen, &l.callers}, {d.settings.PeerListen, &l.peers}, {d.settings.AdminListen, &l.admin},
 	} {
-		*port.into, err = config.Listen(ctx, "tcp", port.address)
+		*port.into, err = d.network.Listen(ctx, port.address)
 		if err != nil {
 			return l, fault.Wrap(fault.Invalid, err, "cannot listen on %s", port.address)
 		}
--- /dev/null
+++ b/internal/dialer/dialer.go
@@ -0,0 +1,73 @@
+// Package dialer opens connections to peers, upstreams and the platform. Tests
+// replace it by an in-memory network.
+package dialer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+const (
+	// connectTimeout bounds the opening of a connection.
+	connectTimeout = time.Second
+	// idleConnsPerHost bounds the idle connections kept to one address.
+	idleConnsPerHost = 64
+	idleTimeout      = 30 * time.Second
+)
+
+// KeepAlive makes the kernel drop connections whose other end is gone.
+var KeepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     15 * time.Second,
+	Interval: 5 * time.Second,
+	Count:    3,
+}
+
+// Func opens a connection to an address of the form host:port.
+type Func func(ctx context.Context, address string) (net.Conn, error)
+
+// TCP opens a TCP connection.
+func TCP(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{KeepAliveConfig: KeepAlive}).DialContext(ctx, "tcp", address)
+}
+
+// Secure returns a Func that adds TLS to the connections of dial. It returns
+// dial itself when config is nil.
+func Secure(dial Func, config *tls.Config) Func {
+	if config == nil {
+		return dial
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		plain, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		secured := tls.Client(plain, config)
+		if err := secured.HandshakeContext(ctx); err != nil {
+			_ = plain.Close()
+			return nil, err
+		}
+		return secured, nil
+	}
+}
+
+// Transport returns an HTTP transport over dial, without a proxy. A failed
+// dial is Unreachable: the request was not sent.
+func Transport(dial Func) *http.Transport {
+	return &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+			defer cancel()
+			conn, err := dial(ctx, address)
+			return conn, fault.Wrap(fault.Unreachable, err, "cannot connect to %s", address)
+		},
+		MaxIdleConnsPerHost: idleConnsPerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -19,15 +18,11 @@
 const (
 	// controlTimeout bounds each call other than a stream.
 	controlTimeout = 2 * time.Second
-	// connectTimeout bounds the dialling of an upstream.
-	connectTimeout = time.Second
 	// headerTimeout is the wait for the response header of a stream. Engines
 	// answer before the prefill, so a longer wait means a frozen engine.
 	headerTimeout = 5 * time.Second
 	// maxControlBody bounds the answer to a control call, in bytes.
 	maxControlBody = 8 << 20
-	// idleConnsPerUpstream bounds the idle connections kept to one upstream.
-	idleConnsPerUpstream = 64
 )
 
 // Client calls engines over HTTP.
@@ -35,26 +30,11 @@
 	http *http.Client
 }
 
-// NewClient returns a client. The transport may be nil for the default, which
-// uses no proxy and bounds dialling.
+// NewClient returns a client that sends through the given transport.
 func NewClient(transport http.RoundTripper) *Client {
-	if transport == nil {
-		transport = NewTransport()
-	}
 	return &Client{http: &http.Client{Transport: transport}}
 }
 
-// NewTransport returns the HTTP transport for upstreams.
-func NewTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idleConnsPerUpstream,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}
-}
-
 // Start starts a stream. Errors: Unreachable and Refused say that the engine
 // did not start it, Conflict that a stream with this id exists, UpstreamLost
 // that it may have started.
@@ -128,15 +108,12 @@
 	return req, nil
 }
 
-// SendError classifies an error of http.Client.Do. A failed dial means that
-// the upstream received nothing; anything else may have reached it.
+// SendError classifies an error of http.Client.Do. Unreachable says that the
+// upstream received nothing; after any other kind it may have.
 func SendError(err error, address string) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return fault.Wrap(fault.Unreachable, err, "cannot connect to upstream %s", address)
-	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		return fault.Wrap(fault.Timeout, err, "upstream %s did not answer in time", address)
+	switch kind := fault.KindOf(err); kind {
+	case fault.Unreachable, fault.Timeout, fault.Canceled:
+		return fault.Wrap(kind, err, "sending to upstream %s", address)
 	}
 	return fault.Wrap(fault.UpstreamLost, err, "lost upstream %s", address)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/sched"
 	"github.com/verbenapier/verbenapier/pkg/confd"
@@ -149,9 +150,11 @@
 	Admission     Limits
 	Claims        Claims
 	Directory     Directory
-	Group         *group.Group
-	Log           logrus.FieldLogger
-	Metrics       tally.Scope
+	// Dial opens connections to plain upstreams.
+	Dial    dialer.Func
+	Group   *group.Group
+	Log     logrus.FieldLogger
+	Metrics tally.Scope
 }
 
 // Bounds limits what callers may use of this process.
@@ -194,8 +197,8 @@
 		options:  options,
 		tokens:   newTokenRatio(),
 		ledger:   newLedger(options.Name, options.Incarnation),
-		plain:    &http.Client{Transport: engine.NewTransport(), CheckRedirect: keepRedirect},
-		once:     &http.Client{Transport: newOnceTransport(), CheckRedirect: keepRedirect},
+		plain:    &http.Client{Transport: dialer.Transport(options.Dial), CheckRedirect: keepRedirect},
+		once:     &http.Client{Transport: newOnceTransport(options.Dial), CheckRedirect: keepRedirect},
 		buffered: semaphore.NewWeighted(options.Limits.MaxBuffered),
 		calls:    map[string]*call{},
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 	"github.com/verbenapier/verbenapier/pkg/group"
@@ -60,7 +61,7 @@
 			BodyTimeout: time.Second, WriteTimeout: time.Second,
 		},
 		Configuration: fixedConfig{doc}, Cells: f, Engines: f, Quarantine: open{f}, Admission: f,
-		Claims: noClaims{}, Directory: f, Group: g, Log: log, Metrics: tally.NoopScope,
+		Claims: noClaims{}, Directory: f, Dial: dialer.TCP, Group: g, Log: log, Metrics: tally.NoopScope,
 	})
 }
 
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -39,8 +40,8 @@
 // request. On a connection that was used before, net/http repeats a request
 // that carries Idempotency-Key when the connection breaks, which would run the
 // call twice.
-func newOnceTransport() http.RoundTripper {
-	t := engine.NewTransport()
+func newOnceTransport(dial dialer.Func) http.RoundTripper {
+	t := dialer.Transport(dial)
 	t.DisableKeepAlives = true
 	return t
 }
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
 	"strconv"
@@ -12,6 +11,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
@@ -26,7 +26,7 @@
 // Client calls peers over one connection per address. A connection that goes
 // silent while calls wait on it is closed and replaced.
 type Client struct {
-	dial  Dial
+	dial  dialer.Func
 	group *group.Group
 	ids   atomic.Uint64
 
@@ -39,27 +39,9 @@
 
 var _ Caller = (*Client)(nil)
 
-// Dial opens a connection to a peer address.
-type Dial func(ctx context.Context, address string) (net.Conn, error)
-
-// DialTCP returns a Dial that uses TCP with the given TLS settings, or plain
-// TCP when they are nil.
-func DialTCP(tlsConfig *tls.Config) Dial {
-	dialer := &net.Dialer{KeepAliveConfig: keepAlive}
-	if tlsConfig == nil {
-		return func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		}
-	}
-	secured := &tls.Dialer{NetDialer: dialer, Config: tlsConfig}
-	return func(ctx context.Context, address string) (net.Conn, error) {
-		return secured.DialContext(ctx, "tcp", address)
-	}
-}
-
 // NewClient returns a client that opens connections by dial. Its goroutines
 // belong to g and end with it.
-func NewClient(g *group.Group, dial Dial) *Client {
+func NewClient(g *group.Group, dial dialer.Func) *Client {
 	return &Client{dial: dial, group: g, peers: map[string]*peer{}}
 }
 
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -56,11 +56,3 @@
 func (c *trackedConn) silentFor() time.Duration {
 	return time.Duration(time.Now().UnixNano() - c.lastRead.Load())
 }
-
-// keepAlive makes the kernel drop connections whose other end is gone.
-var keepAlive = net.KeepAliveConfig{
-	Enable:   true,
-	Idle:     15 * time.Second,
-	Interval: 5 * time.Second,
-	Count:    3,
-}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
@@ -78,7 +79,7 @@
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetKeepAliveConfig(keepAlive)
+		_ = tcp.SetKeepAliveConfig(dialer.KeepAlive)
 	}
 	from, conn, err := s.authenticate(ctx, conn)
 	if err != nil {
