system: test whole daemons under faults in virtual time

Three daemons with mutual TLS, six engines, two plain upstreams and the platform run on connections in memory.

Found and mended on the way: - wire: a failed TLS handshake closed a nil connection and ended the daemon. All cells but the last may use up half of the time left. - vbload held a mutex while it asked for addresses, which stops virtual time.

An allowance for callers: the silent-connection fault leaves out the callers' own connections, which only callers can replace.

--- a/emul/internal/load/finder.go
+++ b/emul/internal/load/finder.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -27,35 +26,38 @@
 	seeds  []string
 	key    string
 
-	mu      sync.Mutex
+	// busy holds a value while the lists are in use. It is a channel because
+	// the lists are kept in use while an entry host is asked: a mutex held for
+	// that long stops the virtual time of a test.
+	busy    chan struct{}
 	good    []string
 	known   []string
 	expires time.Time
-	turn    int
+	rounds  int
 }
 
 func newFinder(client *http.Client, cfg Config) *finder {
-	return &finder{client: client, seeds: cfg.Addresses, key: cfg.Keys[0]}
+	return &finder{client: client, seeds: cfg.Addresses, key: cfg.Keys[0], busy: make(chan struct{}, 1)}
 }
 
 // next returns the address for the next request.
 func (f *finder) next(ctx context.Context) (string, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	f.busy <- struct{}{}
+	defer func() { <-f.busy }()
 	if len(f.good) == 0 || time.Now().After(f.expires) {
 		f.refresh(ctx)
 	}
 	if len(f.good) == 0 {
 		return "", errNoAddress
 	}
-	f.turn++
-	return f.good[f.turn%len(f.good)], nil
+	f.rounds++
+	return f.good[f.rounds%len(f.good)], nil
 }
 
 // failed stops the use of an address until the next answer.
 func (f *finder) failed(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	f.busy <- struct{}{}
+	defer func() { <-f.busy }()
 	var rest []string
 	for _, a := range f.good {
 		if a != address {
--- /dev/null
+++ b/emul/system/deploy_test.go
@@ -0,0 +1,426 @@
+package system
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/emul/internal/batch"
+	standin "github.com/verbenapier/verbenapier/emul/internal/engine"
+	"github.com/verbenapier/verbenapier/emul/internal/fault"
+	"github.com/verbenapier/verbenapier/emul/internal/load"
+	"github.com/verbenapier/verbenapier/emul/internal/plain"
+	"github.com/verbenapier/verbenapier/emul/internal/plat"
+	"github.com/verbenapier/verbenapier/internal/certs"
+	"github.com/verbenapier/verbenapier/internal/daemon"
+	"github.com/verbenapier/verbenapier/internal/params"
+	"github.com/verbenapier/verbenapier/pkg/confd"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+const (
+	key          = "key-of-a-shop"
+	platformHost = "platform"
+	callerHost   = "caller"
+	platformAddr = "10.0.0.1:80"
+	crashMarker  = "CRASH-THE-ENGINE"
+	nodeCount    = 3
+	engineCount  = 6
+	deskCount    = 2
+	capacity     = 120_000
+)
+
+var domains = []string{"sofia-a", "sofia-b", "sofia-c"}
+
+// deployment is a platform, engines, plain upstreams and daemons.
+type deployment struct {
+	t         *testing.T
+	net       *network
+	group     *group.Group
+	log       *logrus.Logger
+	authority certs.Pair
+	platform  *fault.Switch
+	engines   map[string]*engineProcess
+	nodes     map[string]*nodeProcess
+
+	mu sync.Mutex
+	// ran holds the prompts that an engine began, with the engines.
+	ran map[string][]string
+	// toldNotRun counts the prompts answered as not run.
+	sent, toldNotRun map[string]int
+	crashes          int
+}
+
+type engineProcess struct {
+	model *batch.Engine
+	stop  context.CancelFunc
+}
+
+type nodeProcess struct {
+	stop  context.CancelFunc
+	ended chan error
+}
+
+// lastEnd is the virtual time at which the last deployment ended. The uuid
+// library never goes back in time within a process, so each deployment starts
+// after the last.
+var lastEnd time.Time
+
+// deploy starts everything and waits until a configuration is in force.
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	time.Sleep(time.Until(lastEnd))
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	if testing.Verbose() && *trace {
+		log.SetLevel(logrus.InfoLevel)
+	}
+	authority, err := certs.Authority("ca", 24*time.Hour)
+	require.NoError(t, err)
+	d := &deployment{
+		t: t, net: newNetwork(time.Millisecond), group: group.New(context.Background()), log: log, authority: authority,
+		engines: map[string]*engineProcess{}, nodes: map[string]*nodeProcess{},
+		ran: map[string][]string{}, sent: map[string]int{}, toldNotRun: map[string]int{},
+	}
+	d.startPlatform()
+	for i := range engineCount {
+		d.startEngine(i)
+	}
+	for i := range deskCount {
+		d.startDesk(i)
+	}
+	for i := range nodeCount {
+		d.startNode(i)
+	}
+	time.Sleep(3 * time.Second)
+	d.apply(0)
+	time.Sleep(5 * time.Second)
+	return d
+}
+
+// close stops everything and checks that nothing is left running.
+func (d *deployment) close() {
+	for _, n := range d.nodes {
+		n.stop()
+	}
+	for _, n := range d.nodes {
+		require.NoError(d.t, <-n.ended)
+	}
+	for _, e := range d.engines {
+		e.stop()
+	}
+	lastEnd = time.Now()
+	d.group.Stop()
+	d.net.close()
+	require.NoError(d.t, d.group.Wait())
+}
+
+func engineName(i int) string { return fmt.Sprintf("engine-%d", i) }
+func engineAddr(i int) string { return fmt.Sprintf("10.0.1.%d:80", i+1) }
+func deskName(i int) string   { return fmt.Sprintf("desk-%d", i) }
+func deskAddr(i int) string   { return fmt.Sprintf("10.0.2.%d:80", i+1) }
+func nodeName(i int) string   { return fmt.Sprintf("node-%d", i) }
+func nodeAddr(i, port int) string {
+	return fmt.Sprintf("10.0.3.%d:%d", i+1, port)
+}
+
+func (d *deployment) startPlatform() {
+	var hosts []plat.Host
+	for i := range engineCount {
+		hosts = append(hosts, plat.Host{
+			Name: engineName(i), Role: "engine", Service: "drafting", Address: engineAddr(i),
+			FailureDomain: domains[i%len(domains)], State: "live",
+		})
+	}
+	for i := range deskCount {
+		hosts = append(hosts, plat.Host{
+			Name: deskName(i), Role: "plain", Service: "order-desk", Address: deskAddr(i),
+			FailureDomain: domains[i%len(domains)], State: "live",
+		})
+	}
+	for i := range nodeCount {
+		hosts = append(hosts, plat.Host{
+			Name: nodeName(i), Role: "entry", Address: nodeAddr(i, 80), PeerAddress: nodeAddr(i, 81),
+			FailureDomain: domains[i%len(domains)], State: "live",
+		})
+	}
+	server := plat.New(d.log, plat.Config{Hosts: hosts, HostLag: 2 * time.Second, ReadRate: 2000, WriteRate: 400})
+	d.platform = fault.NewSwitch(d.log, 1, func() {})
+	d.serve(d.group.Context(), platformHost, platformAddr, server, d.platform)
+}
+
+// serve runs an HTTP server of a stand-in until the context ends.
+func (d *deployment) serve(ctx context.Context, name, address string, handler http.Handler, sw *fault.Switch) {
+	listener, err := host{d.net, name}.Listen(ctx, address)
+	require.NoError(d.t, err)
+	server := &http.Server{Handler: sw.Wrap(handler), ConnContext: sw.ConnContext, ReadHeaderTimeout: time.Minute}
+	d.group.Go(name, func(context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		_ = server.Serve(listener)
+		return nil
+	})
+}
+
+func (d *deployment) startEngine(i int) {
+	name := engineName(i)
+	ctx, cancel := context.WithCancel(d.group.Context())
+	crash := func() {
+		d.mu.Lock()
+		d.crashes++
+		d.mu.Unlock()
+		cancel()
+		d.net.kill(name)
+	}
+	sw := fault.NewSwitch(d.log, uint64(i), crash)
+	model := batch.New(batch.Config{
+		Name: name, CapacityTokens: capacity, PrefillRate: 40_000, PrefillKnee: 400_000, ChunkTokens: 1024,
+		MaxBatch: 64, StepBase: 20 * time.Millisecond, StepPerStream: 300 * time.Microsecond,
+		StepPerContext: 50 * time.Microsecond, TimeScale: 1, LoadLag: 500 * time.Millisecond,
+		EventLag: time.Second, EventGap: 0.02, Seed: uint64(i), Role: "mixed", CrashMarker: crashMarker, Crash: crash,
+		Models:  []batch.Model{{Name: "draft", Version: "1"}},
+		Peers:   standin.NewPeers(&http.Client{Transport: &http.Transport{DialContext: host{d.net, name}.DialContext}}),
+		Control: sw, LoadTime: time.Second,
+	})
+	d.engines[name] = &engineProcess{model: model, stop: cancel}
+	d.group.Go(name, func(context.Context) error {
+		model.Run(ctx)
+		return nil
+	})
+	d.net.revive(name)
+	d.serve(ctx, name, engineAddr(i), d.record(name, standin.New(d.log, model)), sw)
+}
+
+// record notes which prompts an engine begins.
+func (d *deployment) record(name string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost || r.URL.Path != "/v1/streams" {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(&beginWriter{ResponseWriter: w, begun: func() {
+			var start struct{ Prompt string }
+			_ = json.Unmarshal(body, &start)
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.ran[start.Prompt] = append(d.ran[start.Prompt], name)
+		}}, r)
+	})
+}
+
+type beginWriter struct {
+	http.ResponseWriter
+	begun func()
+}
+
+func (w *beginWriter) WriteHeader(status int) {
+	if status == http.StatusOK {
+		w.begun()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+func (w *beginWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// killEngine ends an engine's process; its streams are lost.
+func (d *deployment) killEngine(i int) {
+	d.net.kill(engineName(i))
+	d.engines[engineName(i)].stop()
+}
+
+func (d *deployment) startDesk(i int) {
+	sw := fault.NewSwitch(d.log, uint64(i), func() {})
+	server := plain.New(d.log, plain.Config{
+		Name: deskName(i), Status: http.StatusOK, Latency: 5 * time.Millisecond, Capacity: 64,
+		LoadLag: time.Second, Seed: uint64(i), Slow: sw.Slow,
+	})
+	d.serve(d.group.Context(), deskName(i), deskAddr(i), server, sw)
+}
+
+func (d *deployment) startNode(i int) {
+	name := nodeName(i)
+	pair, err := certs.Node(d.authority, name, []net.IP{net.IPv4(10, 0, 3, byte(i+1))}, time.Hour)
+	require.NoError(d.t, err)
+	settings, err := params.Load(name, fmt.Appendf(nil, `{
+		"name": %q, "failure_domain": %q, "platform": ["http://%s"],
+		"listen": %q, "peer_listen": %q, "admin_listen": %q, "drain_timeout": "2m",
+		"tls": {"ca": %q, "certificate": %q, "key": %q},
+	}`, name, domains[i%len(domains)], platformAddr, nodeAddr(i, 80), nodeAddr(i, 81), nodeAddr(i, 82),
+		d.authority.Certificate, pair.Certificate, pair.Key))
+	require.NoError(d.t, err)
+	d.net.revive(name)
+	process, err := daemon.New(settings, host{d.net, name}, d.log)
+	require.NoError(d.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &nodeProcess{stop: cancel, ended: make(chan error, 1)}
+	d.nodes[name] = n
+	d.group.Go(name, func(context.Context) error {
+		n.ended <- process.Run(ctx)
+		return nil
+	})
+}
+
+// killNode ends a daemon's process without warning. The old process is cut off
+// from everything and then told to stop, since it cannot be made to vanish.
+func (d *deployment) killNode(i int) {
+	d.net.kill(nodeName(i))
+	d.nodes[nodeName(i)].stop()
+	require.NoError(d.t, <-d.nodes[nodeName(i)].ended)
+}
+
+// leaveNode stops a daemon gracefully and waits for its end.
+func (d *deployment) leaveNode(i int) {
+	d.nodes[nodeName(i)].stop()
+	require.NoError(d.t, <-d.nodes[nodeName(i)].ended)
+}
+
+// apply writes the configuration through the operators' interface.
+func (d *deployment) apply(base int) {
+	pair, err := certs.Operator(d.authority, "operator", time.Hour)
+	require.NoError(d.t, err)
+	cert, err := tls.X509KeyPair(pair.Certificate, pair.Key)
+	require.NoError(d.t, err)
+	transport := &http.Transport{
+		DialContext:     host{d.net, "operator"}.DialContext,
+		TLSClientConfig: &tls.Config{Certificates: []tls.Certificate{cert}, InsecureSkipVerify: true},
+	}
+	defer transport.CloseIdleConnections()
+	target := fmt.Sprintf("https://%s/admin/v1/config?base=%d", nodeAddr(0, 82), base)
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPut, target, strings.NewReader(document))
+	require.NoError(d.t, err)
+	resp, err := (&http.Client{Transport: transport}).Do(req)
+	require.NoError(d.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, _ := io.ReadAll(resp.Body)
+	require.Equal(d.t, http.StatusOK, resp.StatusCode, string(body))
+}
+
+var document = fmt.Sprintf(`{
+	"services": {
+		"drafting": {
+			"kind": "engine", "models": ["draft"], "time_limit": "30s", "max_time_limit": "2m",
+			"short_prompt_tokens": 2048, "weights": {"time_to_first_token": 1, "head_of_line_blocking": 3},
+			"quarantine_time": "10m",
+		},
+		"order-desk": {
+			"kind": "plain", "time_limit": "10s", "max_time_limit": "1m", "idempotency_window": "1h",
+			"routes": [{"method": "POST", "path": "/orders", "idempotent": false}],
+		},
+	},
+	"models": {"draft": {"version": "1"}},
+	"organisations": {"shop": {"keys": [%q], "weight": 1}},
+}`, confd.KeyHash(key))
+
+// run sends requests for a while and checks every answer.
+func (d *deployment) run(ctx context.Context, duration time.Duration, rate float64) load.Report {
+	mix, err := load.ParseMix("1k:80,8k:15,64k:5")
+	require.NoError(d.t, err)
+	addresses := make([]string, nodeCount)
+	for i := range addresses {
+		addresses[i] = nodeAddr(i, 80)
+	}
+	transport := &http.Transport{
+		DialContext: host{d.net, callerHost}.DialContext, MaxIdleConnsPerHost: 256,
+		// Callers give up a silent connection like any HTTP client with a
+		// timeout for the response header.
+		ResponseHeaderTimeout: 40 * time.Second,
+	}
+	defer transport.CloseIdleConnections()
+	runner, err := load.New(d.log, load.Config{
+		Addresses: addresses, Keys: []string{key}, Model: "draft", Rate: rate, Duration: duration, Mix: mix, Seed: 1,
+		MaxTokens: 24, Timeout: 30 * time.Second, Grace: 5 * time.Second, Attempts: 5, PrefixShare: 0.5,
+		LongTokens: 64_000, ShortTokens: 4_000, PlainShare: 0.2, PlainPath: "/services/order-desk/orders",
+		PlainMethod: http.MethodPost, ResendShare: 0.2, Upstreams: []string{deskAddr(0), deskAddr(1)},
+		Transport: &observer{d, transport},
+	})
+	require.NoError(d.t, err)
+	return runner.Run(ctx)
+}
+
+// observer notes what callers are told about each prompt.
+type observer struct {
+	d    *deployment
+	next http.RoundTripper
+}
+
+func (o *observer) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Path != "/v1/completions" {
+		return o.next.RoundTrip(r)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	var sent struct{ Prompt string }
+	_ = json.Unmarshal(body, &sent)
+	r = r.Clone(r.Context())
+	r.Body, r.GetBody = io.NopCloser(bytes.NewReader(body)), nil
+	o.d.mu.Lock()
+	o.d.sent[sent.Prompt]++
+	o.d.mu.Unlock()
+	resp, err := o.next.RoundTrip(r)
+	if err == nil && resp.Header.Get("X-Verbenapier-Run") == "no" {
+		o.d.mu.Lock()
+		o.d.toldNotRun[sent.Prompt]++
+		o.d.mu.Unlock()
+	}
+	return resp, err
+}
+
+// falselyNotRun counts the prompts whose every sending was answered as not run
+// although an engine began them.
+func (d *deployment) falselyNotRun() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for prompt, told := range d.toldNotRun {
+		if told == d.sent[prompt] && len(d.ran[prompt]) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// heldTokens returns the memory in use on all engines.
+func (d *deployment) heldTokens() int {
+	total := 0
+	for _, e := range d.engines {
+		total += e.model.Load().UsedTokens
+	}
+	return total
+}
+
+// sendOne sends one prompt to a node and returns the code of its error, or ok.
+func (d *deployment) sendOne(node int, prompt string) string {
+	transport := &http.Transport{DialContext: host{d.net, callerHost}.DialContext}
+	defer transport.CloseIdleConnections()
+	body := fmt.Sprintf(`{"model":"draft","prompt":%q,"max_tokens":4}`, prompt)
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+nodeAddr(node, 80)+"/v1/completions", strings.NewReader(body))
+	require.NoError(d.t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := (&http.Client{Transport: transport}).Do(req)
+	require.NoError(d.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct{ Error struct{ Code string } }
+	require.NoError(d.t, json.NewDecoder(resp.Body).Decode(&answer))
+	if answer.Error.Code == "" {
+		return "ok"
+	}
+	return answer.Error.Code
+}
--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -80,8 +80,8 @@
 		return sched.Grant{}, fault.New(fault.Unreachable, "service %s has no engines", c.service)
 	}
 	var refusal, problem error
-	for _, cell := range cells {
-		grant, err := c.acquireFrom(ctx, cell, alone)
+	for i, cell := range cells {
+		grant, err := c.acquireWithin(ctx, cell, alone, i == len(cells)-1)
 		switch {
 		case err == nil:
 			s.digests.note(cell, grant.Digest)
@@ -100,6 +100,22 @@
 	return sched.Grant{}, refusal
 }
 
+// acquireWithin asks one cell. All but the last may use up half of the time
+// left, so that a cell that stopped granting does not cost the request its
+// chance in the others.
+func (c *call) acquireWithin(ctx context.Context, cell string, alone, last bool) (sched.Grant, error) {
+	if last {
+		return c.acquireFrom(ctx, cell, alone)
+	}
+	limited, cancel := context.WithTimeout(ctx, time.Until(c.deadline)/2)
+	defer cancel()
+	grant, err := c.acquireFrom(limited, cell, alone)
+	if err != nil && limited.Err() != nil && ctx.Err() == nil {
+		return sched.Grant{}, fault.Wrap(fault.Unreachable, err, "cell %s did not grant in half of the time left", cell)
+	}
+	return grant, err
+}
+
 // acquireFrom asks one cell. A lost reply is asked for once more: the
 // scheduler answers the same grant to the same request.
 func (c *call) acquireFrom(ctx context.Context, cell string, alone bool) (sched.Grant, error) {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -76,12 +76,12 @@
 	}
 }
 
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	if tcp, ok := conn.(*net.TCPConn); ok {
+func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
+	defer func() { _ = raw.Close() }()
+	if tcp, ok := raw.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(dialer.KeepAlive)
 	}
-	from, conn, err := s.authenticate(ctx, conn)
+	from, conn, err := s.authenticate(ctx, raw)
 	if err != nil {
 		s.log.WithError(err).WithField("event", "peer_refused").Warn("a peer connection was refused")
 		return
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync"
@@ -204,3 +205,25 @@
 		require.NoError(t, err)
 	})
 }
+
+// Guards against a failed handshake that ends the whole daemon: the connection
+// that authentication did not return was closed.
+func TestFailedHandshake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetLevel(logrus.PanicLevel)
+		network := newPipes()
+		g := group.New(t.Context())
+		server := NewServer(g, NewMux(), &tls.Config{MinVersion: tls.VersionTLS13}, log)
+		g.Go("serve", func(ctx context.Context) error { return server.Serve(ctx, network) })
+		conn, err := network.dial(t.Context(), "peer")
+		require.NoError(t, err)
+		_, err = conn.Write([]byte("no TLS at all\n"))
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+		synctest.Wait()
+		require.NoError(t, g.Context().Err(), "the group goes on")
+		g.Stop()
+		require.NoError(t, g.Wait())
+	})
+}
