--- /dev/null
+++ b/internal/claims/capacity_test.go
@@ -0,0 +1,200 @@
+package claims
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"math"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/plat"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// fit returns the least-squares line through points and the root mean square of
+// its residuals, relative to the mean of ys.
+func fit(xs, ys []float64) (slope, intercept, residual float64) {
+	var sx, sy, sxx, sxy float64
+	n := float64(len(xs))
+	for i, x := range xs {
+		sx, sy, sxx, sxy = sx+x, sy+ys[i], sxx+x*x, sxy+x*ys[i]
+	}
+	slope = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	intercept = (sy - slope*sx) / n
+	for i, x := range xs {
+		off := ys[i] - slope*x - intercept
+		residual += off * off
+	}
+	return slope, intercept, math.Sqrt(residual/n) / (sy / n)
+}
+
+func soloLog(store plat.Store, options Options) *Log {
+	options.Store, options.Node, options.Incarnation = store, "north-jetty-entry-1", 1764829014000000
+	options.Owner = func(string, int) (member.Member, bool) { return member.Member{Name: options.Node}, true }
+	options.Logger = logrus.New()
+	return New(options)
+}
+
+// load claims and finishes calls at a rate for a virtual time.
+func load(t *testing.T, f *fleet, log *Log, perSecond float64, d time.Duration) int {
+	g := group.New(context.WithoutCancel(t.Context()))
+	calls := 0
+	for end := time.Now().Add(d); time.Now().Before(end); calls++ {
+		key := f.key()
+		g.Go("call", func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+			defer cancel()
+			decision, err := log.Acquire(ctx, Call{
+				Service: "desk", Organisation: "skippers", Key: key, Digest: sha256.Sum256(nil), Window: time.Hour,
+			})
+			if err != nil || decision.Verdict != Run {
+				return fmt.Errorf("%v, %w", decision.Verdict, err)
+			}
+			time.Sleep(200 * time.Millisecond)
+			return log.Finish(ctx, decision.Claim, Outcome{
+				Run: fault.RunYes, Status: 200, ContentType: "application/json", Body: make([]byte, 64),
+			})
+		})
+		time.Sleep(time.Duration(-math.Log(1-f.dice.float()) / perSecond * float64(time.Second)))
+	}
+	require.NoError(t, g.Wait())
+	return calls
+}
+
+// Guards against platform writes that grow with the load, which group commit
+// prevents: a shard writes at most once an interval and twice a full segment.
+func TestCapacity(t *testing.T) {
+	for _, segment := range []int{2 << 10, 4 << 10, 8 << 10, 16 << 10} {
+		rates := []float64{10, 30, 100, 300}
+		var perWrite, bytes, writes []float64
+		for _, rate := range rates {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1, 0, nil)
+				log := soloLog(f.store, Options{Rand: f.dice.float, SegmentSize: segment, WritesPerSecond: 1000})
+				ctx, cancel := context.WithCancel(t.Context())
+				done := group.New(ctx)
+				done.Go("log", log.Run)
+				const d = 30 * time.Second
+				calls := float64(load(t, f, log, rate, d))
+				cancel()
+				_ = done.Wait()
+				perWrite = append(perWrite, calls/float64(f.store.puts))
+				bytes = append(bytes, float64(f.store.bytes)/calls)
+				writes = append(writes, float64(f.store.puts)/d.Seconds())
+				limit := float64(defaultShards)*d.Seconds()/defaultFlushInterval.Seconds() + 2*calls*512/float64(segment) + defaultShards
+				require.Less(t, float64(f.store.puts), limit)
+			})
+		}
+		slope, intercept, residual := fit(rates, perWrite)
+		t.Logf("segment %d: calls/s %v, calls per write %.2f (slope %.5f, intercept %.2f, residual %.3f), bytes per call %.0f, writes/s %.1f",
+			segment, rates, perWrite, slope, intercept, residual, bytes, writes)
+	}
+}
+
+// memoryStore answers at once.
+type memoryStore struct {
+	plat.Store
+	entries  map[string]plat.Entry
+	revision plat.Revision
+}
+
+func (m *memoryStore) Get(_ context.Context, key string) (plat.Entry, error) {
+	if e, ok := m.entries[key]; ok {
+		return e, nil
+	}
+	return plat.Entry{}, fault.New(fault.NotFound, "no such key")
+}
+
+func (m *memoryStore) Put(_ context.Context, key string, value []byte, base plat.Revision) (plat.Revision, error) {
+	if m.entries[key].Revision != base {
+		return 0, fault.New(fault.Conflict, "another revision")
+	}
+	m.revision++
+	m.entries[key] = plat.Entry{Key: key, Value: value, Revision: m.revision}
+	return m.revision, nil
+}
+
+func (m *memoryStore) List(context.Context, string) ([]plat.Entry, error) { return nil, nil }
+
+// claimItems returns queued claims of new keys.
+func claimItems(ctx context.Context, f *dice, n int) []*item {
+	items := make([]*item, n)
+	for i := range items {
+		id := make([]byte, 16)
+		for j := range id {
+			id[j] = byte(f.below(256))
+		}
+		items[i] = &item{ctx: ctx, result: make(chan answer, 1), acquire: &AcquireParams{
+			Service: "desk", ID: id, Time: time.Now().UnixMilli(), Digest: id, WindowMS: millis(time.Hour),
+			Claimant: Claimant{Node: "north-jetty-entry-1", Incarnation: 1764829014000000, Sequence: uint64(i)},
+		}}
+	}
+	return items
+}
+
+// BenchmarkClaim measures processor time for each claim by the size of a group.
+func BenchmarkClaim(b *testing.B) {
+	for _, size := range []int{1, 4, 16, 64} {
+		for _, segment := range []int{4 << 10, 16 << 10} {
+			b.Run(fmt.Sprintf("group=%d/segment=%d", size, segment), func(b *testing.B) { benchmarkClaim(b, size, segment) })
+		}
+	}
+}
+
+func benchmarkClaim(b *testing.B, size, segment int) {
+	ctx, cancel := context.WithTimeout(b.Context(), time.Hour)
+	defer cancel()
+	log := soloLog(&memoryStore{entries: map[string]plat.Entry{}}, Options{WritesPerSecond: 1e9, SegmentSize: segment})
+	s := newShard(log, "desk", 0)
+	d := newDice(1)
+	claims := 0
+	for b.Loop() {
+		b.StopTimer()
+		items := claimItems(ctx, d, size)
+		b.StartTimer()
+		s.flush(ctx, items)
+		claims += size
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(claims), "ns/claim")
+}
+
+// BenchmarkMemory measures the heap that a cached claim takes.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range []int{10000, 30000, 100000, 300000} {
+		b.Run(fmt.Sprint("claims=", size), func(b *testing.B) {
+			ctx, cancel := context.WithTimeout(b.Context(), time.Hour)
+			defer cancel()
+			for b.Loop() {
+				store := &memoryStore{entries: map[string]plat.Entry{}}
+				log := soloLog(store, Options{WritesPerSecond: 1e9})
+				s := newShard(log, "desk", 0)
+				d := newDice(1)
+				before := heap()
+				for range size / 100 {
+					s.flush(ctx, claimItems(ctx, d, 100))
+				}
+				stored := store.entries
+				store.entries = nil
+				s.ledger.content = nil
+				clear(stored)
+				b.ReportMetric(float64(heap()-before)/float64(size), "B/claim")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/internal/claims/log.go
+++ b/internal/claims/log.go
@@ -26,7 +26,7 @@
 const (
 	defaultShards          = 8
 	defaultFlushInterval   = 100 * time.Millisecond
-	defaultSegmentSize     = 16 << 10
+	defaultSegmentSize     = 4 << 10
 	defaultMaxBody         = 512
 	defaultClockSkew       = 30 * time.Second
 	defaultWritesPerSecond = 40
@@ -34,6 +34,8 @@
 	defaultCallTimeout     = 2 * time.Second
 	defaultCollectInterval = time.Minute
 
+	// maxSegmentSize bounds a segment, in bytes.
+	maxSegmentSize = 16 << 10
 	// maxClaimSize is the size of a claim's record with long names, in bytes.
 	maxClaimSize = 256
 	// maxHeaderSize is the size of the first record of a segment, in bytes.
@@ -62,8 +64,8 @@
 	Shards int
 	// FlushInterval is the least time between two writes of a shard.
 	FlushInterval time.Duration
-	// SegmentSize is at most 16 KiB, in bytes. Smaller segments make writes
-	// smaller and more numerous.
+	// SegmentSize is at most 16 KiB, in bytes. Every write repeats the open
+	// segment, so small segments save bytes and cost writes.
 	SegmentSize int
 	// MaxBody is the largest body kept with an outcome, in bytes.
 	MaxBody int
@@ -94,7 +96,7 @@
 	setDefault(&o.RouteTimeout, defaultRouteTimeout)
 	setDefault(&o.CallTimeout, defaultCallTimeout)
 	setDefault(&o.CollectInterval, defaultCollectInterval)
-	o.SegmentSize = min(max(o.SegmentSize, minSegmentSize), defaultSegmentSize)
+	o.SegmentSize = min(max(o.SegmentSize, minSegmentSize), maxSegmentSize)
 	o.MaxBody = min(o.MaxBody, o.SegmentSize/4)
 	if o.Rand == nil {
 		o.Rand = rand.Float64
--- /dev/null
+++ b/internal/limits/capacity_test.go
@@ -0,0 +1,33 @@
+package limits
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a cost of admission that grows with the fleet at the same load
+// on each node, or that exceeds what Limiter states.
+func TestCapacity(t *testing.T) {
+	limits := Limits{RequestsPerSecond: 1e6, TokensPerSecond: 1e9, Concurrent: 1e6}
+	sizes := []int{8, 16, 64, 128}
+	for _, perNode := range []float64{0.5, 5, 20} {
+		var perRequest []float64
+		for _, size := range sizes {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 1, size, realLimiter)
+				f.load(t, limits, perNode*float64(size), 20*time.Second, 300*time.Millisecond, anyNode(size))
+				f.stop(t)
+				require.Equal(t, f.offered, f.admitted)
+				// The home node sends no messages for its own requests.
+				remote := float64(f.admitted) * float64(size-1) / float64(size)
+				perRequest = append(perRequest, float64(f.calls)/remote)
+			})
+		}
+		t.Logf("requests/s and node %.1f, nodes %v: messages per request through another node than the home %.3f", perNode, sizes, perRequest)
+		require.Less(t, perRequest[3], perRequest[0]*1.15)
+		require.Less(t, perRequest[3], 1+2/perNode, "one for each request and two a second")
+	}
+}
