Measure control cost and keep mass restarts within the platform's limits

Change: watchers start after 4 s instead of 2 s, space the reads of parts and stop reading when a peer was faster; a lonely node waits longer between reads of the host list; members that were unknown are not pushed.

--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 
 	"github.com/verbenapier/verbenapier/internal/plat"
@@ -37,7 +38,7 @@
 	if err != nil {
 		return Manifest{}, err
 	}
-	byHash, err := k.readParts(ctx, past.Manifest)
+	byHash, err := k.readParts(ctx, past.Manifest, math.MaxUint64)
 	if err != nil {
 		return Manifest{}, err
 	}
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -92,7 +92,12 @@
 	fetchTimeout = 3 * time.Second
 	// startTime lets a starting node find other members before it takes
 	// itself for a watcher.
-	startTime     = 2 * time.Second
+	startTime = 4 * time.Second
+	// partPace is the time between reads of parts after the first partBurst.
+	// Many watchers read the whole document after a restart of all nodes, and
+	// the platform answers about two thousand reads per second.
+	partPace      = 20 * time.Millisecond
+	partBurst     = 4
 	watchRetryMin = 200 * time.Millisecond
 	watchRetryMax = 4 * time.Second
 	fetchRetryMin = 50 * time.Millisecond
@@ -247,7 +252,12 @@
 func (k *Keeper) pause(ctx context.Context, d *time.Duration, limit time.Duration) bool {
 	wait := k.jitter(*d)
 	*d = min(2**d, limit)
-	timer := time.NewTimer(wait)
+	return sleep(ctx, wait)
+}
+
+// sleep reports false when the context ended before the time was over.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -118,7 +118,10 @@
 	case s.Revision == have:
 		return entry.Revision, nil
 	}
-	contents, err := k.readParts(ctx, s.Manifest)
+	contents, err := k.readParts(ctx, s.Manifest, s.Revision)
+	if fault.Is(err, fault.Stale) {
+		return entry.Revision, nil
+	}
 	if err != nil {
 		k.fail(err)
 		return 0, err
@@ -130,13 +133,22 @@
 }
 
 // readParts returns the contents of a manifest by hash. Only those that this
-// node does not hold are read from the platform.
-func (k *Keeper) readParts(ctx context.Context, m Manifest) (map[string][]byte, error) {
+// node does not hold are read from the platform. It returns Stale when the
+// revision until comes into force meanwhile: after a restart of all nodes most
+// watchers get the document from a peer before they have read all of it.
+func (k *Keeper) readParts(ctx context.Context, m Manifest, until uint64) (map[string][]byte, error) {
 	contents := k.held()
+	reads := 0
 	for name, part := range m.Parts {
 		if _, ok := contents[part.Hash]; ok {
 			continue
 		}
+		if k.Revision() >= until {
+			return nil, fault.New(fault.Stale, "revision %d arrived from a peer", until)
+		}
+		if reads++; reads > partBurst && !sleep(ctx, partPace) {
+			return nil, ctx.Err()
+		}
 		entry, err := k.store.Get(ctx, PartPrefix+part.Hash)
 		if err != nil {
 			return nil, err
--- a/internal/member/hosts.go
+++ b/internal/member/hosts.go
@@ -15,6 +15,10 @@
 func (t *Table) hostsLoop(ctx context.Context) error {
 	backoff := hostsRetryMin
 	first := true
+	// Nodes that start together must not read together.
+	if !sleep(ctx, t.jitter(hostsRetryMin)) {
+		return ctx.Err()
+	}
 	for {
 		if first || t.readsHosts() {
 			hosts, err := t.readHosts(ctx)
@@ -22,7 +26,11 @@
 				t.seed(hosts)
 				first, backoff = false, hostsRetryMin
 			}
-			if err != nil || t.lonely() {
+			if lonely := t.lonely(); err != nil || lonely {
+				if lonely {
+					// The hosts just read are still to be contacted.
+					backoff = max(backoff, hostsLonely)
+				}
 				wait := t.jitter(backoff)
 				backoff = min(2*backoff, hostsRetryMax)
 				if !sleep(ctx, wait) {
--- a/internal/member/options.go
+++ b/internal/member/options.go
@@ -92,6 +92,7 @@
 	hostsTime     = 30 * time.Second
 	hostsRetryMin = 500 * time.Millisecond
 	hostsRetryMax = 15 * time.Second
+	hostsLonely   = 4 * time.Second
 	// hostsReaders is how many members of a failure domain keep reading the
 	// platform's host list.
 	hostsReaders = 1
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -199,7 +199,14 @@
 			"event": "member_state", "member": u.Name, "state": u.State, "incarnation": u.Incarnation,
 		}).Info("member changed state")
 	}
-	t.spread(u)
+	if before.State == "" {
+		// A member that was unknown travels on pings and exchanges only: after
+		// a start of all nodes, pushes of all members would exceed the bytes
+		// allowed for a node.
+		t.queue.add(u)
+	} else {
+		t.spread(u)
+	}
 	t.notify()
 }
 
--- a/internal/netem/client.go
+++ b/internal/netem/client.go
@@ -12,6 +12,9 @@
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
+// hostSize is the assumed size of an entry of the host list in bytes.
+const hostSize = 200
+
 // Client is a node's access to a Store.
 type Client struct {
 	store *Store
@@ -21,6 +24,7 @@
 	random *rand.Rand
 	cut    bool
 	calls  Calls
+	bytes  int64
 }
 
 var (
@@ -45,6 +49,20 @@
 	return c.calls
 }
 
+// Bytes returns the bytes of keys and values sent and received so far, with
+// the envelope of each call.
+func (c *Client) Bytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytes
+}
+
+func (c *Client) carry(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bytes += int64(size)
+}
+
 // Get returns the entry of a key, or NotFound.
 func (c *Client) Get(ctx context.Context, key string) (plat.Entry, error) {
 	var entry plat.Entry
@@ -54,6 +72,7 @@
 			return fault.New(fault.NotFound, "no key %s", key)
 		}
 		entry.Value = slices.Clone(entry.Value)
+		c.carry(len(key) + len(entry.Value))
 		return nil
 	})
 	return entry, err
@@ -67,6 +86,7 @@
 			if strings.HasPrefix(key, prefix) {
 				entry.Value = slices.Clone(entry.Value)
 				entries = append(entries, entry)
+				c.carry(len(key) + len(entry.Value))
 			}
 		}
 		return nil
@@ -80,6 +100,7 @@
 	var hosts []plat.Host
 	err := c.read(ctx, func(n *Calls) { n.Hosts++ }, func() error {
 		hosts = slices.Clone(c.store.hosts)
+		c.carry(len(hosts) * hostSize)
 		return nil
 	})
 	return hosts, err
@@ -89,6 +110,7 @@
 func (c *Client) Put(ctx context.Context, key string, value []byte, base plat.Revision) (plat.Revision, error) {
 	var revision plat.Revision
 	err := c.write(ctx, func(n *Calls) { n.Put++ }, func() (err error) {
+		c.carry(len(key) + len(value))
 		revision, err = c.store.put(key, value, base)
 		return err
 	})
@@ -198,6 +220,7 @@
 	}
 	c.mu.Lock()
 	count(&c.calls)
+	c.bytes += 2 * headerSize
 	c.mu.Unlock()
 	c.store.mu.Lock()
 	count(&c.store.calls)
