--- a/internal/config/proof_test.go
+++ b/internal/config/proof_test.go
@@ -258,7 +258,7 @@
 			slices.Sort(names)
 		}
 		for range count {
-			p.episode(names[p.random.IntN(len(names))])
+			p.episode(names[p.random.IntN(len(names))], len(only) == 0)
 		}
 		p.checkParts(t.Context(), "end")
 		p.took = time.Since(began)
@@ -269,20 +269,30 @@
 	return p
 }
 
-func (p *proof) episode(name string) {
+func (p *proof) episode(first string, second bool) {
+	name, lossy := first, first == "platform loses replies"
 	p.mu.Lock()
 	p.label = fmt.Sprintf("%s at %s", name, time.Now().Format(time.TimeOnly))
 	p.mu.Unlock()
-	episodes[name](p)
-	time.Sleep(ownerTime)
-	p.checkOwners(name)
 	up := name != "platform down" && name != "platform silent" && name != "restart while the platform is down" &&
 		name != "partition and platform down"
+	if second && p.random.IntN(3) == 0 {
+		// Two faults at once: the platform fails as well.
+		other := []string{"platform down", "platform silent", "platform slow", "platform loses replies"}[p.random.IntN(4)]
+		episodes[other](p)
+		up = up && other != "platform down" && other != "platform silent"
+		lossy = lossy || other == "platform loses replies"
+		name += " with " + other
+		time.Sleep(time.Duration(p.random.Int64N(int64(5 * time.Second))))
+	}
+	episodes[first](p)
+	time.Sleep(ownerTime)
+	p.checkOwners(name)
 	if len(p.live()) > 0 {
 		p.race(name, up)
 	}
 	if p.random.IntN(2) == 0 && len(p.live()) > 0 {
-		if _, err := p.live()[0].keeper.Collect(p.t.Context()); err != nil && up && name != "platform loses replies" {
+		if _, err := p.live()[0].keeper.Collect(p.t.Context()); err != nil && up && !lossy {
 			p.problem("%s: collect: %v", name, err)
 		}
 	}
