--- a/emul/system/deploy_test.go
+++ b/emul/system/deploy_test.go
@@ -137,7 +137,7 @@
 }
 
 func (d *deployment) startPlatform() {
-	var hosts []plat.Host
+	hosts := make([]plat.Host, 0, engineCount+deskCount+nodeCount)
 	for i := range engineCount {
 		hosts = append(hosts, plat.Host{
 			Name: engineName(i), Role: "engine", Service: "drafting", Address: engineAddr(i),
--- a/emul/system/network_test.go
+++ b/emul/system/network_test.go
@@ -237,7 +237,7 @@
 	for {
 		gate := c.network.gate(c.from, c.to)
 		c.mu.Lock()
-		n, err, next := c.take(p, gate != nil)
+		n, next, err := c.take(p, gate != nil)
 		changed := c.changed
 		c.mu.Unlock()
 		if n > 0 || err != nil {
@@ -254,34 +254,34 @@
 }
 
 // take returns data that is due, or an error, or how long to wait.
-func (c *conn) take(p []byte, frozen bool) (int, error, time.Duration) {
+func (c *conn) take(p []byte, frozen bool) (int, time.Duration, error) {
 	now, wait := time.Now(), time.Hour
 	if c.closed {
-		return 0, net.ErrClosed, 0
+		return 0, 0, net.ErrClosed
 	}
 	if !c.deadline.IsZero() {
 		if wait = c.deadline.Sub(now); wait <= 0 {
-			return 0, os.ErrDeadlineExceeded, 0
+			return 0, 0, os.ErrDeadlineExceeded
 		}
 	}
 	if frozen {
-		return 0, nil, wait
+		return 0, wait, nil
 	}
 	if len(c.chunks) > 0 {
 		first := &c.chunks[0]
 		if due := first.due.Sub(now); due > 0 {
-			return 0, nil, min(wait, due)
+			return 0, min(wait, due), nil
 		}
 		n := copy(p, first.data)
 		if first.data = first.data[n:]; len(first.data) == 0 {
 			c.chunks = c.chunks[1:]
 		}
-		return n, nil, 0
+		return n, 0, nil
 	}
 	if c.ended != nil {
-		return 0, c.ended, 0
+		return 0, 0, c.ended
 	}
-	return 0, nil, wait
+	return 0, wait, nil
 }
 
 func (c *conn) Write(p []byte) (int, error) {
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 
 	"github.com/verbenapier/verbenapier/pkg/confd"
 )
@@ -13,7 +14,7 @@
 	if err != nil {
 		return nil, err
 	}
-	byHash, err := k.readParts(ctx, m)
+	byHash, err := k.readParts(ctx, m, math.MaxUint64)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -153,7 +153,7 @@
 	d.members.Register(d.mux)
 	d.config = config.New(config.Options{
 		Store: d.store, Caller: d.caller, Members: d.members, Random: newRandom(), Log: d.log,
-		Join: func(_ config.Manifest, parts map[string][]byte) (*confd.Document, error) { return confd.Join(parts) },
+		Join: (&joiner{}).join,
 	})
 	d.config.Register(d.mux)
 	d.members.Carry(d.config)
