Count work in all lanes and let short memory follow demand

Cause: a large organisation's short requests moved the virtual clock, so its lead was forgotten when its long requests competed, and bursts of short requests above capacity found no memory. The clock now follows the least waiting flow of any lane, with a bounded lead. An organisation far ahead loses the memory kept for short requests. The share of that memory grows when a short request finds none and shrinks again over minutes.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -150,6 +150,26 @@
 	shareStep = 0.01
 )
 
+const (
+	// shareBoost is added to the short share when a short request finds no
+	// memory, at most once in boostInterval.
+	shareBoost    = 0.04
+	boostInterval = 500 * time.Millisecond
+	// boostDecay is the time constant with which the addition ends.
+	boostDecay = 3 * time.Minute
+)
+
+// boostShare enlarges the short share for a time. The mix of requests alone
+// underestimates what short requests need in bursts.
+func (s *Scheduler) boostShare(now time.Time) {
+	if now.Sub(s.boosted) < boostInterval {
+		return
+	}
+	s.boosted = now
+	s.boost = min(s.boost+shareBoost*2*s.blockingWeight(), s.rules.MaxShortShare)
+	s.applyShare()
+}
+
 // observeMix follows the fraction of memory that short requests ask for and
 // derives the share kept for them. A higher weight of head-of-line blocking
 // keeps more.
@@ -160,10 +180,14 @@
 	}
 	s.mixShort += mixGain * (short - s.mixShort)
 	s.mixAll += mixGain * (float64(t.need) - s.mixAll)
-	if s.mixAll <= 0 {
-		return
+	s.applyShare()
+}
+
+func (s *Scheduler) applyShare() {
+	share := s.boost
+	if s.mixAll > 0 {
+		share += s.mixShort / s.mixAll * (0.5 + s.blockingWeight())
 	}
-	share := s.mixShort / s.mixAll * (0.5 + s.blockingWeight())
 	share = min(max(share, s.rules.MinShortShare), s.rules.MaxShortShare)
 	if share-s.shortShare > shareStep || s.shortShare-share > shareStep {
 		s.shortShare = share
--- a/internal/sched/gather.go
+++ b/internal/sched/gather.go
@@ -58,7 +58,7 @@
 		return blocked
 	}
 	s.policy.order.remove(t)
-	t.state = stateGathering
+	t.state, t.pool = stateGathering, t.class
 	s.gather = &gathering{
 		ticket: t, members: members, until: now.Add(s.opts.GatherHold),
 		id: fmt.Sprintf("gather-%s-%d-%08x", t.req.ID, t.req.Attempt, s.opts.Rand.Uint32()),
@@ -254,6 +254,9 @@
 	if t.blocked.IsZero() {
 		t.blocked = now
 	}
+	if t.pool == classShort {
+		s.boostShare(now)
+	}
 	if t.class == classShort || now.Sub(t.blocked) < gatherAfter || s.gather != nil {
 		return blocked
 	}
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -14,6 +14,7 @@
 	org         string
 	fingerprint string
 	class       class
+	pool        class
 	alone       bool
 	reservation string
 	shares      []share
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -89,7 +89,9 @@
 // search looks for the engine with the least score.
 type search struct {
 	class class
-	need  int
+	// pool is the class whose memory is used.
+	pool class
+	need int
 	// work is the prefill work, window the longest wait in seconds.
 	work, window float64
 	now          float64
@@ -136,7 +138,7 @@
 // bound is the least score possible in a subtree.
 func (q *search) bound(n *bounds) float64 {
 	wait := max(0, n.busy[q.class]-q.now)
-	if n.room[q.class] < q.need || wait > q.window {
+	if n.room[q.pool] < q.need || wait > q.window {
 		return math.Inf(1)
 	}
 	return wait + n.penalty + q.work/n.rate
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -460,14 +460,22 @@
 	return c.arrival >= simWarmup && !c.flood
 }
 
+func (sim *simulation) inWindow() bool {
+	at := time.Since(sim.start)
+	return at >= simWarmup && at <= sim.cfg.duration
+}
+
+func orgOf(c *simCall) (org int) {
+	_, _ = fmt.Sscanf(c.req.Organisation, "org-%d", &org)
+	return org
+}
+
 func (sim *simulation) arrive(c *simCall) {
 	c.arrived = time.Now()
 	c.deadline = c.arrived.Add(c.req.Remaining)
 	if sim.measured(c) {
 		sim.result.offered++
-		var org int
-		_, _ = fmt.Sscanf(c.req.Organisation, "org-%d", &org)
-		sim.result.demanded[org] += callWork(c)
+		sim.result.demanded[orgOf(c)] += callWork(c)
 	}
 	// Rank by organisation and first block, then the less loaded of two.
 	key := c.req.Organisation + c.req.ID
@@ -515,11 +523,7 @@
 	})
 	delete(cell.grants, c)
 	cell.settle()
-	inWindow := now.Sub(sim.start) >= simWarmup && now.Sub(sim.start) <= sim.cfg.duration
-	if inWindow {
-		var org int
-		_, _ = fmt.Sscanf(c.req.Organisation, "org-%d", &org)
-		sim.result.served[org] += callWork(c)
+	if sim.inWindow() {
 		if !now.After(c.deadline) {
 			sim.result.goodput += float64(c.req.PromptTokens+st.generated) / (sim.cfg.duration - simWarmup).Seconds()
 		}
@@ -663,6 +667,9 @@
 		c.digest = g.Digest
 		c.grants[w.call] = g
 		c.byName[g.Engine].start(&modelStream{call: w.call, priority: g.Priority, share: g.Shares[0]})
+		if c.sim.inWindow() {
+			c.sim.result.served[orgOf(w.call)] += callWork(w.call)
+		}
 		if g.Reservation != "" {
 			_ = modelClient{c.byName}.Unreserve(context.Background(), g.Address, g.Reservation)
 		}
--- a/internal/sched/options.go
+++ b/internal/sched/options.go
@@ -104,7 +104,7 @@
 	defaultCallTimeout    = 2 * time.Second
 	defaultShortPrompt    = 8 << 10
 	defaultMinShortShare  = 0.05
-	defaultMaxShortShare  = 0.30
+	defaultMaxShortShare  = 0.40
 	defaultMaxQueued      = 64
 	defaultMaxQueueWait   = 20 * time.Second
 )
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -26,6 +26,9 @@
 	remove(t *ticket)
 	// charge accounts work done for an organisation, negative for a refund.
 	charge(org string, weight, work float64)
+	// ahead is the work per weight that an organisation received beyond its
+	// share while others wait.
+	ahead(org string) float64
 	// each offers tickets until no more can be placed.
 	each(now time.Time, offer func(*ticket) verdict)
 }
@@ -69,6 +72,8 @@
 
 func (q *fifo) charge(string, float64, float64) {}
 
+func (q *fifo) ahead(string) float64 { return 0 }
+
 func (q *fifo) each(_ time.Time, offer func(*ticket) verdict) {
 	for len(q.tickets) > 0 {
 		if offer(q.tickets[0]) != taken {
@@ -81,6 +86,13 @@
 	// returnCredit is the work per weight that an organisation may claim from
 	// idle time: a few short requests.
 	returnCredit = 16 << 10
+	// laneLead bounds how far the work of an organisation in one lane counts
+	// against it in the others: about one prompt of the greatest length.
+	laneLead = 4_000_000
+	// demoteLead is the lead from which an organisation's short requests lose
+	// the memory kept for short requests, so that the others' longer ones
+	// find room.
+	demoteLead = laneLead / 2
 	// laneLookahead bounds the organisations tried in one pass over a lane
 	// when the first ones find no memory.
 	laneLookahead = 4
@@ -91,7 +103,7 @@
 
 func newFair() fair {
 	return fair{queue.NewFair[string](queue.FairOptions[*ticket]{
-		Lanes: laneCount, Credit: returnCredit, Due: (*ticket).due,
+		Lanes: laneCount, Credit: returnCredit, Lead: laneLead, Due: (*ticket).due,
 		Before: func(a, b *ticket) bool {
 			if a.rank != b.rank {
 				return a.rank < b.rank
@@ -114,6 +126,8 @@
 
 func (f fair) charge(org string, weight, work float64) { f.q.Charge(org, weight, work) }
 
+func (f fair) ahead(org string) float64 { return f.q.Ahead(org) }
+
 func (f fair) each(now time.Time, offer func(*ticket) verdict) {
 	for lane := range laneCount {
 		f.q.Each(lane, laneLookahead, now, offer)
@@ -170,7 +184,7 @@
 		return s.score(e, t, at, s.prefixes.cached(e, t.req.Prefixes, now)), true
 	}
 	q := &search{
-		class: t.class, need: t.need, window: window, now: at, score: score,
+		class: t.class, pool: t.pool, need: t.need, window: window, now: at, score: score,
 		mirror: s.opts.Rand.Uint32()&1 == 1,
 	}
 	q.work = s.est.factor[t.class] * s.prefillLeft(t, now)
--- a/internal/sched/run.go
+++ b/internal/sched/run.go
@@ -107,6 +107,8 @@
 		s.endedList = s.endedList[1:]
 	}
 	s.est.relax(now.Sub(s.relaxed))
+	s.boost *= max(0, 1-now.Sub(s.relaxed).Seconds()/boostDecay.Seconds())
+	s.applyShare()
 	s.relaxed = now
 	s.pump(now)
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -49,8 +49,9 @@
 	ended     map[string]struct{}
 	endedList []endedGrant
 
-	mixShort, mixAll float64
-	shortShare       float64
+	mixShort, mixAll  float64
+	shortShare, boost float64
+	boosted           time.Time
 
 	rebuilt, relaxed time.Time
 	stopped          bool
@@ -279,6 +280,9 @@
 	if t.lane == laneGather {
 		return s.startGather(t, now)
 	}
+	if t.pool = t.class; s.policy.order.ahead(t.req.Organisation) > demoteLead {
+		t.pool = classLong
+	}
 	var e *slot
 	if p, ok := s.pins[t.req.Fingerprint]; ok && t.req.Fingerprint != "" {
 		if !s.fits(p.slot, t) || s.policy.admission && p.slot.wait(t.class, s.since(now)) > s.window(t.class) {
@@ -307,7 +311,7 @@
 
 // fits reports whether the engine may run the ticket now.
 func (s *Scheduler) fits(e *slot, t *ticket) bool {
-	return e.open() && e.room(t.class, s.shortShare) >= t.need && e.serves(t.req.Model) &&
+	return e.open() && e.room(t.pool, s.shortShare) >= t.need && e.serves(t.req.Model) &&
 		!t.req.Alone && !slices.Contains(t.req.Avoid, e.name)
 }
 
@@ -316,7 +320,7 @@
 	g := &grant{
 		id:      fmt.Sprintf("%s-%d-%08x", t.req.ID, t.req.Attempt, s.opts.Rand.Uint32()),
 		request: t.key(), entry: t.req.Entry, org: t.req.Organisation, fingerprint: t.req.Fingerprint,
-		class: t.class, alone: t.req.Alone, reservation: reservation, shares: shares,
+		class: t.class, pool: t.pool, alone: t.req.Alone, reservation: reservation, shares: shares,
 		weight: t.req.Weight, prompt: t.req.PromptTokens, limit: t.req.MaxTokens, granted: now, expires: now.Add(s.opts.Lifetime),
 	}
 	s.plan(g, t, now)
@@ -360,7 +364,7 @@
 		s.assert(e.exclusive == nil, "exclusive_engine_shared")
 		s.assert(!g.alone || len(e.grants) == 0, "alone_grant_shares_engine")
 		e.reserved += sh.tokens
-		e.booked[g.class] += sh.tokens
+		e.booked[g.pool] += sh.tokens
 		e.grants[g.id] = g
 		if g.alone {
 			e.exclusive = g
@@ -379,8 +383,8 @@
 	for _, sh := range g.shares {
 		e := sh.slot
 		e.reserved -= sh.tokens
-		e.booked[g.class] -= sh.tokens
-		s.assert(e.reserved >= 0 && e.booked[g.class] >= 0, "negative_booking")
+		e.booked[g.pool] -= sh.tokens
+		s.assert(e.reserved >= 0 && e.booked[g.pool] >= 0, "negative_booking")
 		delete(e.grants, g.id)
 		e.freed = append(e.freed, freedTokens{now, sh.tokens})
 		if e.exclusive == g {
--- a/internal/sched/ticket.go
+++ b/internal/sched/ticket.go
@@ -53,8 +53,10 @@
 // ticket is a request that waits for a grant. Its outcome is set once, before
 // done is closed.
 type ticket struct {
-	req      Request
-	class    class
+	req   Request
+	class class
+	// pool is the class whose memory the request may use.
+	pool     class
 	lane     int
 	arrived  time.Time
 	deadline time.Time
--- a/pkg/queue/fair.go
+++ b/pkg/queue/fair.go
@@ -23,8 +23,10 @@
 	opts  FairOptions[V]
 	flows map[K]*flow[K, V]
 	lanes []*Heap[*flow[K, V]]
-	clock float64
-	size  int
+	// waiting holds all flows with elements in any lane.
+	waiting *Heap[*flow[K, V]]
+	clock   float64
+	size    int
 }
 
 // FairOptions configure a Fair.
@@ -39,6 +41,10 @@
 	// Credit bounds, in work per weight, how far behind the clock a returning
 	// flow starts.
 	Credit float64
+	// Lead bounds, in work per weight, how far a flow served in one lane runs
+	// ahead of the clock while other flows wait in other lanes. Without it,
+	// work in a lane that is served often would be forgotten in the others.
+	Lead float64
 }
 
 type flow[K comparable, V any] struct {
@@ -47,6 +53,7 @@
 	// start is the virtual start time of the next element.
 	start float64
 	count int
+	node  *Node[*flow[K, V]]
 	lanes []flowLane[K, V]
 }
 
@@ -67,6 +74,7 @@
 // NewFair returns an empty queue.
 func NewFair[K comparable, V any](o FairOptions[V]) *Fair[K, V] {
 	q := &Fair[K, V]{opts: o, flows: map[K]*flow[K, V]{}}
+	q.waiting = NewHeap(func(a, b *flow[K, V]) bool { return a.start < b.start })
 	for lane := range max(1, o.Lanes) {
 		q.lanes = append(q.lanes, NewHeap(func(a, b *flow[K, V]) bool {
 			if a.start != b.start {
@@ -98,6 +106,7 @@
 	f := q.flow(key, weight)
 	if f.count == 0 {
 		f.start = max(f.start, q.clock-q.opts.Credit)
+		f.node = q.waiting.Push(f)
 	}
 	f.count++
 	q.size++
@@ -121,7 +130,9 @@
 	if it.due != nil {
 		l.due.Remove(it.due)
 	}
-	f.count--
+	if f.count--; f.count == 0 {
+		q.waiting.Remove(f.node)
+	}
 	q.size--
 	if l.node == nil {
 		return
@@ -139,12 +150,15 @@
 func (q *Fair[K, V]) Charge(key K, weight, work float64) {
 	f := q.flow(key, weight)
 	if work > 0 {
-		q.clock = max(q.clock, f.start)
+		q.advance(f.start)
 	}
 	f.start += work / f.weight
 	if work < 0 {
 		f.start = max(f.start, q.clock-q.opts.Credit)
 	}
+	if f.count > 0 {
+		q.waiting.Fix(f.node)
+	}
 	for lane := range f.lanes {
 		if n := f.lanes[lane].node; n != nil {
 			q.lanes[lane].Fix(n)
@@ -152,6 +166,25 @@
 	}
 }
 
+// Ahead returns how far, in work per weight, the flow is ahead of the clock.
+// It is negative for a flow with credit.
+func (q *Fair[K, V]) Ahead(key K) float64 {
+	if f, ok := q.flows[key]; ok {
+		return f.start - q.clock
+	}
+	return -q.opts.Credit
+}
+
+// advance moves the clock to the start of the served element, or to the least
+// start that waits in any lane, but not further than the lead behind it.
+func (q *Fair[K, V]) advance(served float64) {
+	least := served
+	if f, ok := q.waiting.Peek(); ok {
+		least = min(least, f.start)
+	}
+	q.clock = max(q.clock, least, served-q.opts.Lead)
+}
+
 // Each offers the first element of each flow of a lane in order of service,
 // and the next one of a flow after each Taken. It ends at Stop, after limit
 // flows were skipped, or when no flow is left. An offered element that is
--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -169,3 +169,25 @@
 		})
 	}
 }
+
+// Guards against work in one lane that is forgotten in another while a flow
+// waits there, and against a lead without bound.
+func TestFairLanes(t *testing.T) {
+	const lead = 100
+	q := NewFair[string](FairOptions[int]{Lanes: 2, Lead: lead, Before: func(a, b int) bool { return a < b }})
+	q.Push("patient", 1, 1, 0)
+	for range 5 {
+		q.Charge("busy", 1, 10)
+	}
+	require.InDelta(t, 50, q.Ahead("busy"), 0)
+	q.Push("busy", 1, 1, 1)
+	q.Push("late", 1, 1, 2)
+	require.InDelta(t, 0, q.Ahead("late"), 0)
+	var got []int
+	q.Each(1, 3, time.Time{}, func(v int) Verdict { got = append(got, v); return Skip })
+	require.Equal(t, []int{0, 2, 1}, got)
+	for range 50 {
+		q.Charge("busy", 1, 10)
+	}
+	require.LessOrEqual(t, q.Ahead("busy"), float64(lead+10))
+}
