Book memory until engines confirm its release; add invariant tests

A reservation counted as free before the engine had freed it, and the leader of a gathering that lost a member counted as free while its stream still ran. Reservations stay booked until the engine confirms, and the leader's share until its stream has ended.

The tests cover refusals, spreading of refusals, pinning, requests alone, gathering with each member lost, starvation, fairness, takeover, orphans and prefixes, and compare each placement with a scan of all engines.

--- /dev/null
+++ b/internal/sched/fake_test.go
@@ -0,0 +1,218 @@
+package sched
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/verbenapier/verbenapier/internal/engine"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+const fakeDetachLimit = 15 * time.Second
+
+// fakeFleet stands in for the engines. It checks on every start that memory
+// is not overcommitted, that a request alone is alone and that a fingerprint
+// runs on one engine.
+type fakeFleet struct {
+	t  *testing.T
+	mu sync.Mutex
+	// refuse makes Reserve fail on an address.
+	refuse  map[string]bool
+	delay   time.Duration
+	engines map[string]*fakeEngine
+	crashed map[string]time.Time
+}
+
+type fakeEngine struct {
+	capacity     int
+	streams      map[string]*fakeStream
+	reservations map[string]int
+}
+
+type fakeStream struct {
+	tokens      int
+	alone       bool
+	fingerprint string
+	detached    time.Time
+}
+
+func newFakeFleet(t *testing.T, capacities map[string]int) *fakeFleet {
+	f := &fakeFleet{t: t, refuse: map[string]bool{}, crashed: map[string]time.Time{}, engines: map[string]*fakeEngine{}}
+	for address, n := range capacities {
+		f.engines[address] = &fakeEngine{capacity: n, streams: map[string]*fakeStream{}, reservations: map[string]int{}}
+	}
+	return f
+}
+
+// tidy drops streams that had no reader for the engine's own limit.
+func (e *fakeEngine) tidy() {
+	for id, st := range e.streams {
+		if !st.detached.IsZero() && time.Since(st.detached) >= fakeDetachLimit {
+			delete(e.streams, id)
+		}
+	}
+}
+
+func (e *fakeEngine) used() int {
+	n := 0
+	for _, st := range e.streams {
+		n += st.tokens
+	}
+	for _, r := range e.reservations {
+		n += r
+	}
+	return n
+}
+
+// start returns false when an engine of the grant crashed at this instant.
+func (f *fakeFleet) start(g Grant, req Request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, address := range append([]string{g.Address}, g.Members...) {
+		if at, ok := f.crashed[address]; ok && at.Equal(time.Now()) {
+			return false
+		}
+	}
+	e := f.engines[g.Address]
+	e.tidy()
+	delete(e.reservations, g.Reservation)
+	e.streams[g.ID] = &fakeStream{tokens: g.Shares[0], alone: req.Alone, fingerprint: req.Fingerprint}
+	if n := e.used(); n > e.capacity {
+		f.t.Errorf("%s: %d of %d tokens used", g.Address, n, e.capacity)
+	}
+	for _, st := range e.streams {
+		if st.alone && len(e.streams) > 1 {
+			f.t.Errorf("%s: a request alone shares the engine", g.Address)
+		}
+	}
+	for address, other := range f.engines {
+		for _, st := range other.streams {
+			if address != g.Address && req.Fingerprint != "" && st.fingerprint == req.Fingerprint && st.detached.IsZero() {
+				f.t.Errorf("fingerprint %s runs on %s and %s", req.Fingerprint, address, g.Address)
+			}
+		}
+	}
+	for _, m := range g.Members {
+		if f.engines[m].reservations[g.Reservation] == 0 {
+			f.t.Errorf("%s: no reservation %s", m, g.Reservation)
+		}
+	}
+	return true
+}
+
+func (f *fakeFleet) end(g Grant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.engines[g.Address].streams, g.ID)
+}
+
+func (f *fakeFleet) detach(g Grant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if st := f.engines[g.Address].streams[g.ID]; st != nil {
+		st.detached = time.Now()
+	}
+}
+
+// crash empties an engine.
+func (f *fakeFleet) crash(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashed[address] = time.Now()
+	clear(f.engines[address].streams)
+	clear(f.engines[address].reservations)
+}
+
+func (f *fakeFleet) load(address string) engine.LoadReport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[address]
+	e.tidy()
+	return engine.LoadReport{CapacityTokens: e.capacity, UsedTokens: e.used(), Running: len(e.streams), PrefillTokensPerSecond: 20_000}
+}
+
+func (f *fakeFleet) Streams(_ context.Context, address string) ([]engine.Stream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[address]
+	e.tidy()
+	out := make([]engine.Stream, 0, len(e.streams))
+	for id, st := range e.streams {
+		s := engine.Stream{ID: id, TokensHeld: st.tokens, Attached: st.detached.IsZero()}
+		if !s.Attached {
+			s.DetachedMillis = time.Since(st.detached).Milliseconds()
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+func (f *fakeFleet) Reserve(ctx context.Context, address, id string, tokens int, _ time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(f.delay):
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[address]
+	e.tidy()
+	if f.refuse[address] {
+		return fault.New(fault.Refused, "refused by the test")
+	}
+	if e.used()+tokens > e.capacity {
+		f.t.Errorf("%s: reservation of %d exceeds memory", address, tokens)
+	}
+	e.reservations[id] = tokens
+	return nil
+}
+
+func (f *fakeFleet) Unreserve(_ context.Context, address, id string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.engines[address].reservations, id)
+	return nil
+}
+
+func (f *fakeFleet) Cancel(_ context.Context, address, id string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if st := f.engines[address].streams[id]; st != nil && st.detached.IsZero() {
+		f.t.Errorf("%s: stream %s with a reader was cancelled", address, id)
+	}
+	delete(f.engines[address].streams, id)
+	return nil
+}
+
+func quietLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	return log
+}
+
+// fleetScheduler returns a scheduler over the fleet's engines, which have
+// reported once.
+func fleetScheduler(t *testing.T, f *fakeFleet, names []string, change func(*Options)) *Scheduler {
+	o := Options{
+		Cell: "c", Owner: "n1", Engines: f, RebuildWindow: -1, Log: quietLog(),
+		Rand: rand.New(rand.NewPCG(1, 1)), Violation: func(n string) { t.Errorf("invariant %s", n) },
+	}
+	if change != nil {
+		change(&o)
+	}
+	s := New(o)
+	infos := make([]EngineInfo, len(names))
+	for i, n := range names {
+		infos[i] = EngineInfo{Name: n, Address: n}
+	}
+	s.SetEngines(infos)
+	for _, n := range names {
+		s.Report(n, n, f.load(n))
+	}
+	return s
+}
--- a/internal/sched/gather.go
+++ b/internal/sched/gather.go
@@ -198,6 +198,13 @@
 // queue and is not gathered for again during pause.
 func (s *Scheduler) endGather(now time.Time, pause time.Duration) {
 	g := s.dropHeld()
+	if g.reserving {
+		// The engines may hold the reservations until they confirm the release.
+		for _, m := range g.members {
+			m.slot.freeing += m.want
+			s.index.update(m.slot)
+		}
+	}
 	g.aborted = true
 	if t := g.ticket; t.state == stateGathering {
 		t.state = stateQueued
@@ -226,13 +233,14 @@
 			s.pump(now)
 			return
 		}
-		for _, m := range g.members {
-			s.jobs = append(s.jobs, unreserveJob(m.slot.address, g.id))
-		}
 		if !g.aborted {
 			s.opts.Log.WithField("request", g.ticket.req.ID).WithError(err).Info("reservation_refused")
 			s.endGather(now, reserveRetry)
 		}
+		for _, m := range g.members {
+			m.slot.freeing -= m.want
+			s.unreserve(m.slot, g.id, m.want)
+		}
 		s.pump(now)
 		s.notify()
 	}
--- a/internal/sched/grant.go
+++ b/internal/sched/grant.go
@@ -31,6 +31,9 @@
 	// lapsed grants were not renewed; their memory stays booked until the
 	// engine no longer lists the stream.
 	lapsed bool
+	// broken grants lost a member: their entry node is told that they are not
+	// known any more. lapse is when the grant lapsed or broke.
+	broken bool
 	lapse  time.Time
 	wire   Grant
 }
@@ -51,3 +54,6 @@
 }
 
 func (g *grant) leader() *slot { return g.shares[0].slot }
+
+// ending reports whether the grant is only kept until its stream is gone.
+func (g *grant) ending() bool { return g.lapsed || g.broken }
--- a/internal/sched/run.go
+++ b/internal/sched/run.go
@@ -17,13 +17,23 @@
 // job is a call to an engine that Run makes outside the scheduler's lock.
 type job func(ctx context.Context, s *Scheduler)
 
-func unreserveJob(address, id string) job {
-	return func(ctx context.Context, s *Scheduler) {
-		if err := s.opts.Engines.Unreserve(ctx, address, id); err != nil {
-			// The reservation has a time to live and ends by itself.
-			s.opts.Log.WithField("address", address).WithError(err).Warn("unreserve_failed")
+// unreserve asks an engine to free a reservation. The memory is granted again
+// when the call has ended; should it have failed, the load reports show what
+// is still used, and the reservation's time to live ends it.
+func (s *Scheduler) unreserve(e *slot, id string, tokens int) {
+	e.freeing += tokens
+	s.index.update(e)
+	s.jobs = append(s.jobs, func(ctx context.Context, s *Scheduler) {
+		if err := s.opts.Engines.Unreserve(ctx, e.address, id); err != nil {
+			s.opts.Log.WithField("engine", e.name).WithError(err).Warn("unreserve_failed")
 		}
-	}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		e.freeing -= tokens
+		s.index.update(e)
+		s.pump(time.Now())
+	})
+	s.notify()
 }
 
 // Run expires grants, makes the calls to engines and cancels orphaned streams
@@ -90,7 +100,7 @@
 		if !ok || now.Before(g.expires) {
 			break
 		}
-		if g.lapsed {
+		if g.ending() {
 			s.unbook(g, now)
 			continue
 		}
@@ -184,8 +194,9 @@
 	return streams, err
 }
 
-// compare frees lapsed grants whose stream is gone, accounts for streams
-// without a grant and returns the ids of orphaned streams. None are named before the rebuild window has passed.
+// compare frees lapsed and broken grants whose stream is gone, accounts for
+// streams without a grant and returns the ids of orphaned streams. None are
+// named before the rebuild window has passed.
 func (s *Scheduler) compare(e *slot, streams []engine.Stream, listed time.Time) []string {
 	now := time.Now()
 	var orphans []string
@@ -196,13 +207,10 @@
 		if g == nil && st.Reservation != "" {
 			g = owners[st.Reservation]
 		}
-		if g != nil && !g.lapsed {
-			continue
-		}
-		if g != nil {
-			alive[g] = true
-		} else {
+		if g == nil {
 			unknown += st.TokensHeld
+		} else if alive[g] = true; !g.ending() {
+			continue
 		}
 		detached := time.Duration(st.DetachedMillis) * time.Millisecond
 		if !st.Attached && detached >= s.opts.OrphanAge && now.After(s.rebuilt) {
@@ -210,7 +218,7 @@
 		}
 	}
 	for _, g := range sortedGrants(e.grants) {
-		if g.lapsed && !alive[g] && g.leader() == e && g.lapse.Before(listed) {
+		if g.ending() && !alive[g] && g.leader() == e && g.lapse.Before(listed) {
 			s.unbook(g, now)
 		}
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -148,7 +148,7 @@
 		t.waiters++
 		return t, nil
 	}
-	if g, ok := s.granted[key]; ok && !g.lapsed {
+	if g, ok := s.granted[key]; ok && !g.ending() {
 		g.expires = now.Add(s.opts.Lifetime)
 		s.expiry.Fix(g.node)
 		t := &ticket{req: req, state: stateDecided, done: make(chan struct{}), grant: g.wire}
@@ -391,7 +391,7 @@
 			e.exclusive = nil
 		}
 		if g.reservation != "" && s.byName[e.name] == e {
-			s.jobs = append(s.jobs, unreserveJob(e.address, g.reservation))
+			s.unreserve(e, g.reservation, sh.tokens)
 		}
 		if sh.slot == g.leader() {
 			e.dropPrefill(g.class, g.prefillEnd, s.since(now))
@@ -408,6 +408,23 @@
 	s.removePin(g.fingerprint, g.leader())
 }
 
+// breakGrant frees the members of a grant that lost one. The leader's memory
+// stays booked until the stream has ended there.
+func (s *Scheduler) breakGrant(g *grant, now time.Time) {
+	for _, sh := range g.shares[1:] {
+		e := sh.slot
+		e.reserved -= sh.tokens
+		e.booked[g.pool] -= sh.tokens
+		delete(e.grants, g.id)
+		e.freed = append(e.freed, freedTokens{now, sh.tokens})
+		if s.byName[e.name] == e {
+			s.unreserve(e, g.reservation, sh.tokens)
+		}
+	}
+	g.shares = g.shares[:1]
+	g.broken, g.lapse = true, now
+}
+
 func (s *Scheduler) assert(ok bool, name string) {
 	if ok {
 		return
@@ -472,7 +489,7 @@
 		if !ok {
 			g, ok = s.adopt(r.Entry, h, now)
 		}
-		if !ok {
+		if !ok || g.broken {
 			unknown = append(unknown, h.ID)
 			continue
 		}
@@ -535,7 +552,11 @@
 	s.prefixes.forget(e)
 	s.loseMember(e, now)
 	for _, g := range sortedGrants(e.grants) {
-		s.unbook(g, now)
+		if g.leader() == e {
+			s.unbook(g, now)
+		} else {
+			s.breakGrant(g, now)
+		}
 	}
 	s.opts.Log.WithField("engine", name).Info("engine_lost")
 }
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -2,6 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,39 +18,604 @@
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
-// Guards against memory that is granted twice and a waiter that outlives its
-// deadline.
+func ask(id string, tokens int, limit time.Duration) Request {
+	return Request{ID: id, Cell: "c", Organisation: "o", PromptTokens: tokens, Remaining: limit}
+}
+
+// acquireAll starts one Acquire per request and returns their grants by id
+// once the group has ended.
+func acquireAll(ctx context.Context, s *Scheduler, reqs ...Request) (*group.Group, map[string]chan Grant) {
+	g, out := group.New(ctx), map[string]chan Grant{}
+	for _, r := range reqs {
+		ch := make(chan Grant, 1)
+		out[r.ID] = ch
+		g.Go(r.ID, func(ctx context.Context) error {
+			grant, err := s.Acquire(ctx, r)
+			if err == nil {
+				ch <- grant
+			}
+			return err
+		})
+	}
+	return g, out
+}
+
+// Guards against memory that is granted twice, a repeated acquire that gets a
+// second grant and a waiter that outlives its deadline.
 func TestMemoryAdmission(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := New(Options{Cell: "c", RebuildWindow: -1, Violation: func(n string) { t.Fatal(n) }})
-		s.SetEngines([]EngineInfo{{Name: "e", Address: "a"}})
-		s.Report("e", "a", engine.LoadReport{CapacityTokens: 10_000})
-		req := Request{ID: "1", Cell: "c", PromptTokens: 7_000, MaxTokens: 500, Remaining: 20 * time.Second}
-		first, err := s.Acquire(t.Context(), req)
+		f := newFakeFleet(t, map[string]int{"a": 10_000})
+		s := fleetScheduler(t, f, []string{"a"}, nil)
+		first, err := s.Acquire(t.Context(), ask("1", 7_500, 20*time.Second))
 		require.NoError(t, err)
-		again, err := s.Acquire(t.Context(), req)
+		again, err := s.Acquire(t.Context(), ask("1", 7_500, 20*time.Second))
 		require.NoError(t, err)
 		require.Equal(t, first.ID, again.ID)
 
-		req.ID = "2"
 		start := time.Now()
-		_, err = s.Acquire(t.Context(), req)
+		_, err = s.Acquire(t.Context(), ask("2", 7_500, 20*time.Second))
 		require.Equal(t, fault.NotStarted, fault.KindOf(err))
 		require.Equal(t, 20*time.Second, time.Since(start))
 
-		req.ID = "3"
-		g := group.New(t.Context())
-		g.Go("acquire", func(ctx context.Context) error {
-			_, err := s.Acquire(ctx, req)
-			return err
+		g, _ := acquireAll(t.Context(), s, ask("3", 7_500, 20*time.Second))
+		synctest.Wait()
+		s.Release(Release{ID: first.ID})
+		require.NoError(t, g.Wait())
+	})
+}
+
+// Guards against a refusal of the wrong kind: the kind tells the caller
+// whether to resend and the entry node whether to try another cell.
+func TestRefusals(t *testing.T) {
+	cases := map[string]struct {
+		change func(*Request)
+		want   fault.Kind
+	}{
+		"other cell":   {func(r *Request) { r.Cell = "d" }, fault.NotOwner},
+		"no id":        {func(r *Request) { r.ID = "" }, fault.Invalid},
+		"no time":      {func(r *Request) { r.Remaining = 0 }, fault.NotStarted},
+		"too long":     {func(r *Request) { r.PromptTokens = 300_000 }, fault.TooLong},
+		"no model":     {func(r *Request) { r.Model = "x" }, fault.Unreachable},
+		"unattainable": {func(r *Request) { r.PromptTokens, r.Remaining = 90_000, time.Second }, fault.Unattainable},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(t, map[string]int{"a": 100_000, "b": 100_000})
+				s := fleetScheduler(t, f, []string{"a", "b"}, nil)
+				for _, n := range []string{"a", "b"} {
+					r := f.load(n)
+					r.Models = []engine.Model{{Name: "m"}}
+					s.Report(n, n, r)
+				}
+				req := ask("1", 100, time.Minute)
+				req.Model = "m"
+				tc.change(&req)
+				start := time.Now()
+				_, err := s.Acquire(t.Context(), req)
+				require.Equal(t, tc.want, fault.KindOf(err), "%v", err)
+				require.Equal(t, fault.RunNo, fault.KindOf(err).Answer().Run)
+				require.Zero(t, time.Since(start), "refused at once")
+			})
 		})
+	}
+}
+
+// Guards against an organisation that fills the queue and thereby gets the
+// requests of the others refused.
+func TestOverloadSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 10_000})
+		s := fleetScheduler(t, f, []string{"a"}, func(o *Options) { o.Rules.MaxQueued = 10 })
+		_, err := s.Acquire(t.Context(), ask("hold", 9_000, time.Minute))
+		require.NoError(t, err)
+		refused := map[string]int{}
+		for i := range 40 {
+			org := "flood"
+			if i%8 == 7 {
+				org = fmt.Sprintf("small-%d", i%3)
+			}
+			r := ask(fmt.Sprint(i), 5_000, time.Minute)
+			r.Organisation = org
+			s.mu.Lock()
+			_, err := s.submit(r, time.Now())
+			s.mu.Unlock()
+			if err != nil {
+				require.Equal(t, fault.Overloaded, fault.KindOf(err))
+				refused[org]++
+			}
+		}
+		require.Equal(t, map[string]int{"flood": 26}, refused)
+	})
+}
+
+// Guards against two prompts of the same fingerprint on two engines, and
+// against a pinned request that stays parked.
+func TestPinning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 10_000, "b": 10_000})
+		s := fleetScheduler(t, f, []string{"a", "b"}, nil)
+		same := func(id string) Request {
+			r := ask(id, 6_000, time.Minute)
+			r.Fingerprint = "f"
+			return r
+		}
+		first, err := s.Acquire(t.Context(), same("1"))
+		require.NoError(t, err)
+		g, got := acquireAll(t.Context(), s, same("2"), ask("3", 6_000, time.Minute))
+		synctest.Wait()
+		require.NotEqual(t, first.Engine, (<-got["3"]).Engine)
+		require.Empty(t, got["2"])
+		s.Release(Release{ID: first.ID})
+		require.NoError(t, g.Wait())
+	})
+}
+
+// Guards against a request alone that shares its engine at its start or later.
+func TestAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 10_000})
+		s := fleetScheduler(t, f, []string{"a"}, nil)
+		first, err := s.Acquire(t.Context(), ask("1", 100, time.Minute))
+		require.NoError(t, err)
+		alone := ask("2", 100, time.Minute)
+		alone.Alone = true
+		g, got := acquireAll(t.Context(), s, alone)
+		synctest.Wait()
+		g2, late := acquireAll(t.Context(), s, ask("3", 100, time.Minute))
 		synctest.Wait()
+		require.Empty(t, got["2"], "the engine still runs a request")
+		require.Empty(t, late["3"], "the engine is draining")
 		s.Release(Release{ID: first.ID})
 		require.NoError(t, g.Wait())
+		require.Empty(t, late["3"], "the engine runs a request alone")
+		s.Release(Release{ID: (<-got["2"]).ID})
+		require.NoError(t, g2.Wait())
+	})
+}
+
+// Guards against a gathering that keeps reservations after a refusal or the
+// loss of any member, and against short requests that wait for it.
+func TestGathering(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	for _, lost := range append([]string{""}, names...) {
+		t.Run("lost "+lost, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(t, map[string]int{"a": 100_000, "b": 100_000, "c": 100_000})
+				f.delay, f.refuse["b"] = 100*time.Millisecond, true
+				s := fleetScheduler(t, f, names, nil)
+				run := group.New(t.Context())
+				run.Go("run", s.Run)
+				g, got := acquireAll(t.Context(), s, ask("big", 210_000, 5*time.Minute))
+				time.Sleep(50 * time.Millisecond)
+				_, err := s.Acquire(t.Context(), ask("short", 100, time.Second))
+				require.NoError(t, err, "short requests are served meanwhile")
+				time.Sleep(500 * time.Millisecond)
+				require.Empty(t, got["big"])
+				f.mu.Lock()
+				f.refuse["b"] = false
+				for n, e := range f.engines {
+					require.Empty(t, e.reservations, n)
+				}
+				f.mu.Unlock()
+				require.NoError(t, g.Wait())
+				grant := <-got["big"]
+				require.Len(t, grant.Shares, 3)
+				require.Equal(t, 210_000, grant.Shares[0]+grant.Shares[1]+grant.Shares[2])
+				f.start(grant, ask("big", 210_000, time.Minute))
+
+				if lost != "" {
+					f.crash(lost)
+					s.EngineLost(lost)
+					unknown, err := s.Renew(Renewal{Cell: "c", Held: []Held{{ID: grant.ID, Engine: grant.Engine}}})
+					require.NoError(t, err)
+					require.Equal(t, []string{grant.ID}, unknown)
+				}
+				f.end(grant)
+				s.Release(Release{ID: grant.ID, Failed: lost != ""})
+				time.Sleep(time.Second)
+				for n, e := range f.engines {
+					require.Empty(t, e.reservations, n)
+				}
+				for _, e := range s.Snapshot().Engines {
+					require.LessOrEqual(t, e.Reserved, 100, e.Name)
+					require.Zero(t, e.Held, e.Name)
+				}
+				run.Stop()
+				require.NoError(t, run.Wait())
+			})
+		})
+	}
+}
+
+// Guards against a gathering that starves under a stream of short requests,
+// which always fill what becomes free.
+func TestNoStarvation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 100_000, "b": 100_000})
+		s := fleetScheduler(t, f, []string{"a", "b"}, nil)
+		run := group.New(t.Context())
+		run.Go("run", s.Run)
+		for i := range 200 {
+			run.Go("short", func(ctx context.Context) error {
+				rnd := rand.New(rand.NewPCG(7, uint64(i)))
+				for n := 0; ; n++ {
+					r := ask(fmt.Sprintf("s%d-%d", i, n), 2_000, time.Minute)
+					r.Organisation = "short"
+					grant, err := s.Acquire(ctx, r)
+					if ctx.Err() != nil {
+						return ctx.Err()
+					}
+					if err == nil {
+						time.Sleep(time.Duration(1+rnd.IntN(4000)) * time.Millisecond)
+						s.Release(Release{ID: grant.ID, PromptTokens: 2_000})
+					} else {
+						time.Sleep(time.Second)
+					}
+				}
+			})
+		}
+		time.Sleep(10 * time.Second)
+		start := time.Now()
+		for _, n := range []int{60_000, 80_000, 150_000} {
+			grant, err := s.Acquire(t.Context(), ask(fmt.Sprint("long", n), n, 10*time.Minute))
+			require.NoError(t, err, "%d tokens", n)
+			s.Release(Release{ID: grant.ID})
+		}
+		require.Less(t, time.Since(start), 2*time.Minute)
+		run.Stop()
+		require.NoError(t, run.Wait())
+	})
+}
+
+// Guards against an organisation that receives more than its weight while
+// both wait for one engine.
+func TestFairness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 10_000})
+		s := fleetScheduler(t, f, []string{"a"}, func(o *Options) { o.Rules = CapacityRules{MaxQueued: 10_000, MaxQueueWait: time.Hour} })
+		rnd := rand.New(rand.NewPCG(3, 3))
+		waiting := map[string]*ticket{}
+		s.mu.Lock()
+		for i := range 2000 {
+			r := ask(fmt.Sprint(i), 500+rnd.IntN(4000), 24*time.Hour)
+			r.Organisation, r.Weight = "light", 1
+			if i%2 == 0 {
+				r.Organisation, r.Weight = "heavy", 3
+			}
+			waiting[r.ID], _ = s.submit(r, time.Now())
+		}
+		s.mu.Unlock()
+		work := map[string]float64{}
+		for range 200 {
+			s.mu.Lock()
+			s.pump(time.Now())
+			grants := sortedGrants(s.grants)
+			s.mu.Unlock()
+			require.NotEmpty(t, grants)
+			for _, g := range grants {
+				work[g.org] += g.work
+				s.Release(Release{ID: g.id, PromptTokens: g.prompt})
+			}
+			require.LessOrEqual(t, math.Abs(work["heavy"]/3-work["light"]), float64(returnCredit+4*5000), "%v", work)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// Guards against a new owner that grants memory which the grants of the old
+// one still hold, and against a late renewal that revives an ended grant.
+func TestTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 10_000, "b": 10_000})
+		old := fleetScheduler(t, f, []string{"a", "b"}, nil)
+		held := make([]Held, 0, 2)
+		for i := range 2 {
+			r := ask(fmt.Sprint(i), 8_000, time.Minute)
+			g, err := old.Acquire(t.Context(), r)
+			require.NoError(t, err)
+			f.start(g, r)
+			held = append(held, Held{ID: g.ID, RequestID: r.ID, Engine: g.Engine, Organisation: "o", Tokens: 8_000})
+		}
+		// The reports of the new owner predate the streams.
+		s := fleetScheduler(t, f, nil, func(o *Options) { o.RebuildWindow = 2 * time.Second })
+		s.SetEngines([]EngineInfo{{Name: "a", Address: "a"}, {Name: "b", Address: "b"}})
+		s.Report("a", "a", engine.LoadReport{CapacityTokens: 10_000})
+		s.Report("b", "b", engine.LoadReport{CapacityTokens: 10_000})
+		run := group.New(t.Context())
+		run.Go("run", s.Run)
+		g, got := acquireAll(t.Context(), s, ask("new", 5_000, time.Minute))
+		time.Sleep(time.Second)
+		unknown, err := s.Renew(Renewal{Cell: "c", Entry: "n", Held: held})
+		require.NoError(t, err)
+		require.Empty(t, unknown)
+		time.Sleep(3 * time.Second)
+		require.Empty(t, got["new"], "both engines are full")
+		repeated, err := s.Acquire(t.Context(), ask("0", 8_000, time.Minute))
+		require.NoError(t, err)
+		require.Equal(t, held[0].ID, repeated.ID)
+
+		f.end(Grant{ID: held[0].ID, Address: held[0].Engine})
+		s.Release(Release{ID: held[0].ID})
+		require.NoError(t, g.Wait())
+		unknown, err = s.Renew(Renewal{Cell: "c", Entry: "n", Held: held})
+		require.NoError(t, err)
+		require.Equal(t, []string{held[0].ID}, unknown)
+		run.Stop()
+		require.NoError(t, run.Wait())
+		_, err = s.Acquire(t.Context(), ask("after", 100, time.Minute))
+		require.Equal(t, fault.NotOwner, fault.KindOf(err))
+	})
+}
+
+// Guards against an orphan that keeps its memory, and against a stream with a
+// reader that is cancelled because its grant is not known.
+func TestOrphans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 10_000})
+		s := fleetScheduler(t, f, []string{"a"}, func(o *Options) { o.OrphanAge, o.OrphanInterval = 5*time.Second, time.Second })
+		run := group.New(t.Context())
+		run.Go("run", s.Run)
+		read := Grant{ID: "read", Address: "a", Shares: []int{3_000}}
+		f.start(read, Request{Fingerprint: "x"})
+		lapsed, err := s.Acquire(t.Context(), ask("lapsed", 5_000, time.Minute))
+		require.NoError(t, err)
+		f.start(lapsed, Request{Fingerprint: "y"})
+		f.detach(lapsed)
+		f.engines["a"].streams[lapsed.ID].detached = time.Now().Add(time.Hour) // never freed by the engine
+		time.Sleep(20 * time.Second)
+		require.Equal(t, 5_000, s.Snapshot().Engines[0].Reserved, "booked while the stream is listed")
+		f.mu.Lock()
+		f.engines["a"].streams[lapsed.ID].detached = time.Now().Add(-6 * time.Second)
+		f.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		require.Zero(t, s.Snapshot().Engines[0].Reserved)
+		require.Equal(t, 3_000, s.Snapshot().Engines[0].Foreign)
+		require.Len(t, f.engines["a"].streams, 1)
+		run.Stop()
+		require.NoError(t, run.Wait())
+	})
+}
 
-		req.PromptTokens = 20_000
-		req.ID = "4"
-		_, err = s.Acquire(t.Context(), req)
-		require.Equal(t, fault.TooLong, fault.KindOf(err))
+// Guards against a prefix that is preferred although its engine evicted it or
+// is busy for longer than the saved prefill.
+func TestPrefixAffinity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 400_000, "b": 400_000})
+		s := fleetScheduler(t, f, []string{"a", "b"}, nil)
+		place := func(id string) string {
+			r := ask(id, 8_000, time.Minute)
+			r.Prefixes = []string{"p1", "p2", "p4"}
+			g, err := s.Acquire(t.Context(), r)
+			require.NoError(t, err)
+			s.Release(Release{ID: g.ID})
+			return g.Engine
+		}
+		stored := engine.CacheEvent{Seq: 5, Kind: kindStored, Prefix: "p4", Tokens: 4096}
+		s.CacheEvents("b", []engine.CacheEvent{stored})
+		for i := range 4 {
+			require.Equal(t, "b", place(fmt.Sprint("hit", i)))
+		}
+		s.byName["b"].busy[classShort] = s.since(time.Now()) + 10
+		s.index.update(s.byName["b"])
+		require.Equal(t, "a", place("busy"))
+		s.CacheEvents("a", []engine.CacheEvent{{Seq: 1, Kind: kindEvicted, Prefix: "p4"}})
+		s.CacheEvents("b", []engine.CacheEvent{{Seq: 9, Kind: kindEvicted, Prefix: "p4"}, stored})
+		require.Equal(t, 1, s.byName["b"].prefixes.gaps)
+		require.Zero(t, s.prefixes.cached(s.byName["b"], []string{"p4"}, time.Now()))
+	})
+}
+
+// checkedPlacer compares each search of the index with a scan of all engines.
+type checkedPlacer struct {
+	t     *testing.T
+	count int
+}
+
+func (p *checkedPlacer) place(s *Scheduler, t *ticket, now time.Time) (*slot, verdict) {
+	e, why := earliest{}.place(s, t, now)
+	at, best := s.since(now), math.Inf(1)
+	score := func(e *slot) float64 { return s.score(e, t, at, s.prefixes.cached(e, t.req.Prefixes, now)) }
+	for _, o := range s.slots {
+		if s.fits(o, t) && o.wait(t.class, at) <= s.window(t.class) {
+			best = min(best, score(o))
+		}
+	}
+	if e == nil {
+		require.True(p.t, math.IsInf(best, 1), "the scan finds an engine")
+	} else {
+		require.LessOrEqual(p.t, score(e), best+1e-9)
+		p.count++
+	}
+	return e, why
+}
+
+// Guards against an index that misses the best engine: each decision of a
+// random schedule is compared with the naive scan.
+func TestPlacementAgainstScan(t *testing.T) {
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 4))
+			capacities, names := map[string]int{}, make([]string, 0, 13)
+			for i := range 13 {
+				names = append(names, fmt.Sprintf("e%02d", i))
+				capacities[names[i]] = 50_000 + rnd.IntN(100_000)
+			}
+			f := newFakeFleet(t, capacities)
+			s := fleetScheduler(t, f, names, nil)
+			p := &checkedPlacer{t: t}
+			s.policy.placer = p
+			for i := range 3000 {
+				r := ask(fmt.Sprint(i), 200+rnd.IntN(3_000)*(1+rnd.IntN(10)), time.Minute)
+				r.Prefixes = []string{fmt.Sprint("p", rnd.IntN(20))}
+				s.mu.Lock()
+				_, _ = s.submit(r, time.Now())
+				s.pump(time.Now())
+				grants := sortedGrants(s.grants)
+				s.mu.Unlock()
+				for _, g := range grants {
+					if rnd.IntN(40) == 0 {
+						s.Release(Release{ID: g.id, PromptTokens: g.prompt, FirstToken: time.Duration(rnd.IntN(2000)) * time.Millisecond})
+					}
+				}
+				n := names[rnd.IntN(len(names))]
+				report := f.load(n)
+				report.PrefillTokensPerSecond = 5_000 + 30_000*rnd.Float64()
+				s.Report(n, n, report)
+				time.Sleep(time.Duration(rnd.IntN(200)) * time.Millisecond)
+			}
+			require.Greater(t, p.count, 1000)
+		})
+	}
+}
+
+// TestRandomised runs callers, entry nodes that die, engines that crash and
+// refuse, and checks that no invariant breaks, every Acquire returns by its
+// deadline and the books are empty at the end.
+func TestRandomised(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomised(t, seed) })
+		})
+	}
+}
+
+func randomised(t *testing.T, seed uint64) {
+	names, capacities := make([]string, 0, 6), map[string]int{}
+	for i := range 6 {
+		names = append(names, fmt.Sprint("e", i))
+		capacities[names[i]] = 100_000
+	}
+	f := newFakeFleet(t, capacities)
+	f.delay = 20 * time.Millisecond
+	s := fleetScheduler(t, f, names, func(o *Options) { o.GatherHold = 5 * time.Second })
+	run := group.New(t.Context())
+	run.Go("run", s.Run)
+	run.Go("reports", func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			for _, n := range names {
+				r := f.load(n)
+				time.Sleep(150 * time.Millisecond)
+				r.AgeMillis = 150
+				s.Report(n, n, r)
+			}
+		}
+		return ctx.Err()
+	})
+	callers := group.New(t.Context())
+	granted := make([]int, 60)
+	for i := range granted {
+		callers.Go("caller", func(ctx context.Context) error {
+			rnd := rand.New(rand.NewPCG(seed, uint64(i)))
+			for n := range 40 {
+				if randomCall(ctx, t, s, f, rnd, fmt.Sprintf("%d-%d", i, n)) {
+					granted[i]++
+				}
+			}
+			return nil
+		})
+	}
+	rnd := rand.New(rand.NewPCG(seed, 1000))
+	for range 30 {
+		time.Sleep(time.Duration(1+rnd.IntN(5)) * time.Second)
+		n := names[rnd.IntN(len(names))]
+		f.mu.Lock()
+		f.refuse[n] = !f.refuse[n]
+		f.mu.Unlock()
+		if rnd.IntN(2) == 0 {
+			f.crash(n)
+			s.EngineLost(n)
+			infos := make([]EngineInfo, 0, len(names))
+			for _, name := range names {
+				infos = append(infos, EngineInfo{Name: name, Address: name})
+			}
+			s.SetEngines(infos)
+		}
+	}
+	require.NoError(t, callers.Wait())
+	time.Sleep(2 * defaultLifetime)
+	total := 0
+	for _, n := range granted {
+		total += n
+	}
+	require.Greater(t, total, 500)
+	snap := s.Snapshot()
+	require.Empty(t, snap.Queue)
+	require.Empty(t, snap.Grants)
+	for _, e := range snap.Engines {
+		require.Zero(t, e.Reserved+e.Held+e.Foreign, e.Name)
+	}
+	for n, e := range f.engines {
+		require.Zero(t, e.used(), n)
+	}
+	require.Empty(t, s.pins)
+	run.Stop()
+	require.NoError(t, run.Wait())
+}
+
+// randomCall acquires, runs and releases one request and reports whether it
+// was granted. Some entry nodes die instead of releasing.
+func randomCall(ctx context.Context, t *testing.T, s *Scheduler, f *fakeFleet, rnd *rand.Rand, id string) bool {
+	req := ask(id, 100+rnd.IntN(8_000), time.Duration(1+rnd.IntN(60))*time.Second)
+	req.Organisation, req.Weight = fmt.Sprint("o", rnd.IntN(4)), float64(1+rnd.IntN(3))
+	req.Fingerprint = fmt.Sprint("f", rnd.IntN(200))
+	req.MaxTokens = rnd.IntN(500)
+	switch rnd.IntN(20) {
+	case 0:
+		req.PromptTokens = 90_000 + rnd.IntN(200_000)
+	case 1:
+		req.Alone = true
+	case 2:
+		req.Avoid = []string{fmt.Sprint("e", rnd.IntN(6))}
+	}
+	callCtx := ctx
+	if rnd.IntN(10) == 0 {
+		var cancel context.CancelFunc
+		callCtx, cancel = context.WithTimeout(ctx, time.Duration(rnd.IntN(3000))*time.Millisecond)
+		defer cancel()
+	}
+	start := time.Now()
+	g, err := s.Acquire(callCtx, req)
+	if time.Since(start) > req.Remaining {
+		t.Errorf("%s returned after its deadline", id)
+	}
+	if err != nil {
+		require.NotEqual(t, fault.Internal, fault.KindOf(err))
+		return false
+	}
+	if slices.Contains(req.Avoid, g.Engine) {
+		t.Errorf("%s runs on an engine to avoid", id)
+	}
+	if !f.start(g, req) {
+		s.Release(Release{ID: g.ID, Failed: true})
+		return true
+	}
+	time.Sleep(time.Duration(rnd.IntN(8000)) * time.Millisecond)
+	if rnd.IntN(20) == 0 {
+		f.detach(g)
+		return true
+	}
+	f.end(g)
+	s.Release(Release{ID: g.ID, PromptTokens: req.PromptTokens, CompletionTokens: rnd.IntN(req.MaxTokens + 1)})
+	return true
+}
+
+// Guards against an owner that stops while requests wait: they must be told
+// to ask the next owner.
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 1_000})
+		s := fleetScheduler(t, f, []string{"a"}, func(o *Options) { o.RebuildWindow = time.Hour })
+		ctx, cancel := context.WithCancel(t.Context())
+		run := group.New(ctx)
+		run.Go("run", s.Run)
+		g, _ := acquireAll(t.Context(), s, ask("1", 500, time.Minute))
+		synctest.Wait()
+		cancel()
+		require.NoError(t, run.Wait())
+		err := g.Wait()
+		var e *fault.Error
+		require.True(t, errors.As(err, &e))
+		require.Equal(t, fault.NotOwner, e.Kind())
 	})
 }
--- a/internal/sched/slot.go
+++ b/internal/sched/slot.go
@@ -20,8 +20,9 @@
 	capacity int
 	// reserved is booked by grants and booked its parts by class, held is kept
 	// for the gathering in progress, foreign used by streams without a grant.
-	reserved, held, foreign int
-	booked                  [classCount]int
+	// freeing are reservations whose release the engine has not confirmed.
+	reserved, held, foreign, freeing int
+	booked                           [classCount]int
 	// listed and unbooked are the tokens without a grant by the last stream
 	// list and by the last load report; foreign is the larger one.
 	listed, unbooked int
@@ -55,14 +56,14 @@
 	}
 }
 
-func (e *slot) free() int { return e.capacity - e.reserved - e.held - e.foreign }
+func (e *slot) free() int { return e.capacity - e.reserved - e.held - e.foreign - e.freeing }
 
 // longCap is the memory that long requests may use.
 func (e *slot) longCap(shortShare float64) int { return int((1 - shortShare) * float64(e.capacity)) }
 
 // room is the memory that a request of the class may still take.
 func (e *slot) room(c class, shortShare float64) int {
-	room := int((1-keepsOut[c]*shortShare)*float64(e.capacity)) - e.held
+	room := int((1-keepsOut[c]*shortShare)*float64(e.capacity)) - e.held - e.freeing
 	for k := c; k < classCount; k++ {
 		room -= e.booked[k]
 	}
