Prune the engine search by cached prefixes and long prefills

Cause: the bound of a subtree ignored the delay by long prefills and assumed the longest cached prefix everywhere, so a search visited every engine. Engines with a cached prefix are now tried first, and the bound counts long prefills.

Growth with the cell is below linear but above logarithmic, because the least wait and the least penalty of a subtree may come from different engines.

--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -94,9 +94,12 @@
 	need int
 	// work is the prefill work, window the longest wait in seconds.
 	work, window float64
-	now          float64
+	// blocking is added for short requests on engines with a long prefill.
+	blocking float64
+	now      float64
 	// score returns the predicted time to first token in seconds, or false
-	// when the engine must not run the request. It is at least the bound.
+	// when the engine must not run the request. It is at least the bound,
+	// except on engines that were tried before the search.
 	score func(*slot) (float64, bool)
 	// mirror reverses the order of equal subtrees.
 	mirror bool
@@ -107,7 +110,6 @@
 }
 
 func (x *index) find(q *search) {
-	q.bestTime = math.Inf(1)
 	if len(x.nodes) >= 2 {
 		x.visit(1, q)
 	}
@@ -141,5 +143,9 @@
 	if n.room[q.pool] < q.need || wait > q.window {
 		return math.Inf(1)
 	}
-	return wait + n.penalty + q.work/n.rate
+	bound := wait + n.penalty + q.work/n.rate
+	if q.class == classShort && n.busy[classLong]-q.now > longPenalty {
+		bound += q.blocking
+	}
+	return bound
 }
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -185,23 +185,11 @@
 	}
 	q := &search{
 		class: t.class, pool: t.pool, need: t.need, window: window, now: at, score: score,
-		mirror: s.opts.Rand.Uint32()&1 == 1,
+		work: s.est.factor[t.class] * t.prefill, blocking: s.blockingDelay(),
+		mirror: s.opts.Rand.Uint32()&1 == 1, bestTime: math.Inf(1),
 	}
-	q.work = s.est.factor[t.class] * s.prefillLeft(t, now)
+	s.tryCached(q, t, now)
 	s.index.find(q)
-	// An engine with a cached prefix may also be used when its wait exceeds
-	// the window by no more than the prefill it saves.
-	for _, p := range s.prefixes.candidates(t.req.Prefixes) {
-		e := p.slot
-		v, ok := score(e)
-		if !ok || v >= q.bestTime {
-			continue
-		}
-		saved := s.est.seconds(t.class, t.prefill-prefillWork(s.prefixes.cached(e, t.req.Prefixes, now), t.req.PromptTokens), e.rate)
-		if e.wait(t.class, at) <= window+saved {
-			q.best, q.bestTime = e, v
-		}
-	}
 	s.steps += q.steps
 	switch {
 	case q.best != nil:
@@ -212,6 +200,26 @@
 	return nil, blocked
 }
 
+// tryCached tries the engines that cache a prefix of the prompt; the others
+// have the whole prefill ahead. An engine may also be used when its wait
+// exceeds the window by no more than the prefill it saves.
+func (s *Scheduler) tryCached(q *search, t *ticket, now time.Time) {
+	for _, hash := range t.req.Prefixes {
+		for _, p := range s.prefixes.entries[hash] {
+			q.steps++
+			v, ok := q.score(p.slot)
+			if !ok || v >= q.bestTime {
+				continue
+			}
+			cached := s.prefixes.cached(p.slot, t.req.Prefixes, now)
+			saved := s.est.seconds(t.class, t.prefill-prefillWork(cached, t.req.PromptTokens), p.slot.rate)
+			if p.slot.wait(t.class, q.now) <= q.window+saved {
+				q.best, q.bestTime = p.slot, v
+			}
+		}
+	}
+}
+
 // prefillLeft is the least prefill work of the ticket on any engine.
 func (s *Scheduler) prefillLeft(t *ticket, now time.Time) float64 {
 	best := 0
@@ -225,11 +233,14 @@
 // request that shares the engine: about one prefill chunk.
 const longPenalty = 0.03
 
+// blockingDelay is longPenalty scaled by the weight of head-of-line blocking.
+func (s *Scheduler) blockingDelay() float64 { return longPenalty * 2 * s.blockingWeight() }
+
 // score is the predicted time to first token in seconds.
 func (s *Scheduler) score(e *slot, t *ticket, at float64, cached int) float64 {
 	v := e.wait(t.class, at) + e.penalty() + s.est.seconds(t.class, prefillWork(cached, t.req.PromptTokens), e.rate)
 	if t.class == classShort && e.busy[classLong]-at > longPenalty {
-		v += longPenalty * 2 * s.blockingWeight()
+		v += s.blockingDelay()
 	}
 	return v
 }
