Read the fake engines of the scheduler tests under their lock

The race detector found unlocked reads of the fakes in TestGathering and TestOrphans; the scheduler itself had none.

--- a/internal/sched/fake_test.go
+++ b/internal/sched/fake_test.go
@@ -105,6 +105,18 @@
 	return true
 }
 
+// reserved is the sum of all reservations.
+func (f *fakeFleet) reserved() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.engines {
+		for _, tokens := range e.reservations {
+			n += tokens
+		}
+	}
+	return n
+}
+
 func (f *fakeFleet) end(g Grant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -192,11 +192,9 @@
 				require.NoError(t, err, "short requests are served meanwhile")
 				time.Sleep(500 * time.Millisecond)
 				require.Empty(t, got["big"])
+				require.Zero(t, f.reserved())
 				f.mu.Lock()
 				f.refuse["b"] = false
-				for n, e := range f.engines {
-					require.Empty(t, e.reservations, n)
-				}
 				f.mu.Unlock()
 				require.NoError(t, g.Wait())
 				grant := <-got["big"]
@@ -214,9 +212,7 @@
 				f.end(grant)
 				s.Release(Release{ID: grant.ID, Failed: lost != ""})
 				time.Sleep(time.Second)
-				for n, e := range f.engines {
-					require.Empty(t, e.reservations, n)
-				}
+				require.Zero(t, f.reserved())
 				for _, e := range s.Snapshot().Engines {
 					require.LessOrEqual(t, e.Reserved, 100, e.Name)
 					require.Zero(t, e.Held, e.Name)
@@ -362,7 +358,9 @@
 		require.NoError(t, err)
 		f.start(lapsed, Request{Fingerprint: "y"})
 		f.detach(lapsed)
+		f.mu.Lock()
 		f.engines["a"].streams[lapsed.ID].detached = time.Now().Add(time.Hour) // never freed by the engine
+		f.mu.Unlock()
 		time.Sleep(20 * time.Second)
 		require.Equal(t, 5_000, s.Snapshot().Engines[0].Reserved, "booked while the stream is listed")
 		f.mu.Lock()
@@ -371,7 +369,9 @@
 		time.Sleep(3 * time.Second)
 		require.Zero(t, s.Snapshot().Engines[0].Reserved)
 		require.Equal(t, 3_000, s.Snapshot().Engines[0].Foreign)
-		require.Len(t, f.engines["a"].streams, 1)
+		streams, err := f.Streams(t.Context(), "a")
+		require.NoError(t, err)
+		require.Len(t, streams, 1)
 		run.Stop()
 		require.NoError(t, run.Wait())
 	})
@@ -545,12 +545,12 @@
 	for _, e := range snap.Engines {
 		require.Zero(t, e.Reserved+e.Held+e.Foreign, e.Name)
 	}
+	run.Stop()
+	require.NoError(t, run.Wait())
 	for n, e := range f.engines {
 		require.Zero(t, e.used(), n)
 	}
 	require.Empty(t, s.pins)
-	run.Stop()
-	require.NoError(t, run.Wait())
 }
 
 // randomCall acquires, runs and releases one request and reports whether it
