--- a/internal/sched/gather.go
+++ b/internal/sched/gather.go
@@ -58,7 +58,7 @@
 		return blocked
 	}
 	s.policy.order.remove(t)
-	t.state = stateGathering
+	t.state, t.pool = stateGathering, t.class
 	s.gather = &gathering{
 		ticket: t, members: members, until: now.Add(s.opts.GatherHold),
 		id: fmt.Sprintf("gather-%s-%d-%08x", t.req.ID, t.req.Attempt, s.opts.Rand.Uint32()),
@@ -198,6 +198,13 @@
 // queue and is not gathered for again during pause.
 func (s *Scheduler) endGather(now time.Time, pause time.Duration) {
 	g := s.dropHeld()
+	if g.reserving {
+		// The engines may hold the reservations until they confirm the release.
+		for _, m := range g.members {
+			m.slot.freeing += m.want
+			s.index.update(m.slot)
+		}
+	}
 	g.aborted = true
 	if t := g.ticket; t.state == stateGathering {
 		t.state = stateQueued
@@ -226,13 +233,14 @@
 			s.pump(now)
 			return
 		}
-		for _, m := range g.members {
-			s.jobs = append(s.jobs, unreserveJob(m.slot.address, g.id))
-		}
 		if !g.aborted {
 			s.opts.Log.WithField("request", g.ticket.req.ID).WithError(err).Info("reservation_refused")
 			s.endGather(now, reserveRetry)
 		}
+		for _, m := range g.members {
+			m.slot.freeing -= m.want
+			s.unreserve(m.slot, g.id, m.want)
+		}
 		s.pump(now)
 		s.notify()
 	}
@@ -254,6 +262,9 @@
 	if t.blocked.IsZero() {
 		t.blocked = now
 	}
+	if t.pool == classShort {
+		s.boostShare(now)
+	}
 	if t.class == classShort || now.Sub(t.blocked) < gatherAfter || s.gather != nil {
 		return blocked
 	}
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -89,12 +89,17 @@
 // search looks for the engine with the least score.
 type search struct {
 	class class
-	need  int
+	// pool is the class whose memory is used.
+	pool class
+	need int
 	// work is the prefill work, window the longest wait in seconds.
 	work, window float64
-	now          float64
+	// blocking is added for short requests on engines with a long prefill.
+	blocking float64
+	now      float64
 	// score returns the predicted time to first token in seconds, or false
-	// when the engine must not run the request. It is at least the bound.
+	// when the engine must not run the request. It is at least the bound,
+	// except on engines that were tried before the search.
 	score func(*slot) (float64, bool)
 	// mirror reverses the order of equal subtrees.
 	mirror bool
@@ -105,7 +110,6 @@
 }
 
 func (x *index) find(q *search) {
-	q.bestTime = math.Inf(1)
 	if len(x.nodes) >= 2 {
 		x.visit(1, q)
 	}
@@ -136,8 +140,12 @@
 // bound is the least score possible in a subtree.
 func (q *search) bound(n *bounds) float64 {
 	wait := max(0, n.busy[q.class]-q.now)
-	if n.room[q.class] < q.need || wait > q.window {
+	if n.room[q.pool] < q.need || wait > q.window {
 		return math.Inf(1)
 	}
-	return wait + n.penalty + q.work/n.rate
+	bound := wait + n.penalty + q.work/n.rate
+	if q.class == classShort && n.busy[classLong]-q.now > longPenalty {
+		bound += q.blocking
+	}
+	return bound
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -49,8 +49,9 @@
 	ended     map[string]struct{}
 	endedList []endedGrant
 
-	mixShort, mixAll float64
-	shortShare       float64
+	mixShort, mixAll  float64
+	shortShare, boost float64
+	boosted           time.Time
 
 	rebuilt, relaxed time.Time
 	stopped          bool
@@ -147,7 +148,7 @@
 		t.waiters++
 		return t, nil
 	}
-	if g, ok := s.granted[key]; ok && !g.lapsed {
+	if g, ok := s.granted[key]; ok && !g.ending() {
 		g.expires = now.Add(s.opts.Lifetime)
 		s.expiry.Fix(g.node)
 		t := &ticket{req: req, state: stateDecided, done: make(chan struct{}), grant: g.wire}
@@ -279,6 +280,9 @@
 	if t.lane == laneGather {
 		return s.startGather(t, now)
 	}
+	if t.pool = t.class; s.policy.order.ahead(t.req.Organisation) > demoteLead {
+		t.pool = classLong
+	}
 	var e *slot
 	if p, ok := s.pins[t.req.Fingerprint]; ok && t.req.Fingerprint != "" {
 		if !s.fits(p.slot, t) || s.policy.admission && p.slot.wait(t.class, s.since(now)) > s.window(t.class) {
@@ -307,7 +311,7 @@
 
 // fits reports whether the engine may run the ticket now.
 func (s *Scheduler) fits(e *slot, t *ticket) bool {
-	return e.open() && e.room(t.class, s.shortShare) >= t.need && e.serves(t.req.Model) &&
+	return e.open() && e.room(t.pool, s.shortShare) >= t.need && e.serves(t.req.Model) &&
 		!t.req.Alone && !slices.Contains(t.req.Avoid, e.name)
 }
 
@@ -316,7 +320,7 @@
 	g := &grant{
 		id:      fmt.Sprintf("%s-%d-%08x", t.req.ID, t.req.Attempt, s.opts.Rand.Uint32()),
 		request: t.key(), entry: t.req.Entry, org: t.req.Organisation, fingerprint: t.req.Fingerprint,
-		class: t.class, alone: t.req.Alone, reservation: reservation, shares: shares,
+		class: t.class, pool: t.pool, alone: t.req.Alone, reservation: reservation, shares: shares,
 		weight: t.req.Weight, prompt: t.req.PromptTokens, limit: t.req.MaxTokens, granted: now, expires: now.Add(s.opts.Lifetime),
 	}
 	s.plan(g, t, now)
@@ -360,7 +364,7 @@
 		s.assert(e.exclusive == nil, "exclusive_engine_shared")
 		s.assert(!g.alone || len(e.grants) == 0, "alone_grant_shares_engine")
 		e.reserved += sh.tokens
-		e.booked[g.class] += sh.tokens
+		e.booked[g.pool] += sh.tokens
 		e.grants[g.id] = g
 		if g.alone {
 			e.exclusive = g
@@ -379,15 +383,15 @@
 	for _, sh := range g.shares {
 		e := sh.slot
 		e.reserved -= sh.tokens
-		e.booked[g.class] -= sh.tokens
-		s.assert(e.reserved >= 0 && e.booked[g.class] >= 0, "negative_booking")
+		e.booked[g.pool] -= sh.tokens
+		s.assert(e.reserved >= 0 && e.booked[g.pool] >= 0, "negative_booking")
 		delete(e.grants, g.id)
 		e.freed = append(e.freed, freedTokens{now, sh.tokens})
 		if e.exclusive == g {
 			e.exclusive = nil
 		}
 		if g.reservation != "" && s.byName[e.name] == e {
-			s.jobs = append(s.jobs, unreserveJob(e.address, g.reservation))
+			s.unreserve(e, g.reservation, sh.tokens)
 		}
 		if sh.slot == g.leader() {
 			e.dropPrefill(g.class, g.prefillEnd, s.since(now))
@@ -404,6 +408,23 @@
 	s.removePin(g.fingerprint, g.leader())
 }
 
+// breakGrant frees the members of a grant that lost one. The leader's memory
+// stays booked until the stream has ended there.
+func (s *Scheduler) breakGrant(g *grant, now time.Time) {
+	for _, sh := range g.shares[1:] {
+		e := sh.slot
+		e.reserved -= sh.tokens
+		e.booked[g.pool] -= sh.tokens
+		delete(e.grants, g.id)
+		e.freed = append(e.freed, freedTokens{now, sh.tokens})
+		if s.byName[e.name] == e {
+			s.unreserve(e, g.reservation, sh.tokens)
+		}
+	}
+	g.shares = g.shares[:1]
+	g.broken, g.lapse = true, now
+}
+
 func (s *Scheduler) assert(ok bool, name string) {
 	if ok {
 		return
@@ -468,7 +489,7 @@
 		if !ok {
 			g, ok = s.adopt(r.Entry, h, now)
 		}
-		if !ok {
+		if !ok || g.broken {
 			unknown = append(unknown, h.ID)
 			continue
 		}
@@ -531,7 +552,11 @@
 	s.prefixes.forget(e)
 	s.loseMember(e, now)
 	for _, g := range sortedGrants(e.grants) {
-		s.unbook(g, now)
+		if g.leader() == e {
+			s.unbook(g, now)
+		} else {
+			s.breakGrant(g, now)
+		}
 	}
 	s.opts.Log.WithField("engine", name).Info("engine_lost")
 }
