--- /dev/null
+++ b/internal/order/meter.go
@@ -0,0 +1,47 @@
+package order
+
+import (
+	"context"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
+
+	"github.com/verbenapier/verbenapier/internal/plat"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// meteredStore counts the calls to the platform and bounds their rate.
+type meteredStore struct {
+	store plat.Store
+	limit *rate.Limiter
+	scope tally.Scope
+	calls uint64
+}
+
+func (m *meteredStore) begin(ctx context.Context, operation string) error {
+	if err := m.limit.Wait(ctx); err != nil {
+		return fault.Wrap(fault.Timeout, err, "platform call budget")
+	}
+	m.calls++
+	m.scope.Tagged(map[string]string{"operation": operation}).Counter("order_platform_calls").Inc(1)
+	return nil
+}
+
+// get returns an entry with revision 0 for a key that does not exist.
+func (m *meteredStore) get(ctx context.Context, key string) (plat.Entry, error) {
+	if err := m.begin(ctx, "get"); err != nil {
+		return plat.Entry{}, err
+	}
+	entry, err := m.store.Get(ctx, key)
+	if fault.Is(err, fault.NotFound) {
+		return plat.Entry{Key: key}, nil
+	}
+	return entry, err
+}
+
+func (m *meteredStore) put(ctx context.Context, key string, value []byte, base plat.Revision) (plat.Revision, error) {
+	if err := m.begin(ctx, "put"); err != nil {
+		return 0, err
+	}
+	return m.store.Put(ctx, key, value, base)
+}
