order: read the fencing number only when an order or a permit is due

Cause: a cell that waits for permits read its record and asked for permits in each round, although the next attempt was not due.

Conclusion: waiting costs no reading of the record.

--- a/internal/order/reconciler.go
+++ b/internal/order/reconciler.go
@@ -113,7 +113,7 @@
 	steps := p.build()
 	r.releaseUnused(p, steps)
 	resumed := r.takeResumed()
-	if len(steps)+len(r.permits.release)+len(r.failures)+len(resumed) == 0 || time.Now().Before(r.platformNext) {
+	if !r.due(p, steps) && len(r.failures)+len(resumed) == 0 || time.Now().Before(r.platformNext) {
 		r.keepResumed(resumed)
 		return
 	}
@@ -293,19 +293,34 @@
 	}
 }
 
+// missing returns the planned loads without a permit.
+func (r *Reconciler) missing(p *plan, steps []step) []load {
+	var out []load
+	for _, s := range steps {
+		if s.order.Kind == engine.OrderLoad && !r.permits.held[p.loadOf(s)] {
+			out = append(out, p.loadOf(s))
+		}
+	}
+	return out
+}
+
+// due reports whether this round sends orders or asks for permits. Otherwise it
+// needs no call to the platform.
+func (r *Reconciler) due(p *plan, steps []step) bool {
+	missing := len(r.missing(p, steps))
+	if len(steps) > missing || r.opts.without.permits && missing > 0 {
+		return true
+	}
+	return missing+len(r.permits.release) > 0 && !time.Now().Before(r.permits.next)
+}
+
 // permit obtains the missing permits for the planned loads.
 func (r *Reconciler) permit(ctx context.Context, p *plan, steps []step) bool {
 	if r.opts.without.permits {
 		return true
 	}
-	var want []load
-	for _, s := range steps {
-		if s.order.Kind == engine.OrderLoad && !r.permits.held[p.loadOf(s)] {
-			want = append(want, p.loadOf(s))
-		}
-	}
-	now := time.Now()
-	if len(want)+len(r.permits.release) == 0 || now.Before(r.permits.next) {
+	want := r.missing(p, steps)
+	if len(want)+len(r.permits.release) == 0 || time.Now().Before(r.permits.next) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
