--- a/internal/sched/run.go
+++ b/internal/sched/run.go
@@ -261,7 +261,7 @@
 		if sh.slot.exclusive != nil || h.Alone && len(sh.slot.grants) > 0 || sh.slot.draining {
 			return nil, false
 		}
-		if sh.slot.reported && sh.slot.capacity-sh.slot.reserved-sh.slot.held < sh.tokens {
+		if sh.slot.reported && sh.slot.capacity-sh.slot.reserved-sh.slot.held-sh.slot.freeing < sh.tokens {
 			return nil, false
 		}
 	}
