--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -133,7 +133,7 @@
 	})
 	t := &transfer{call: c, grant: grant, out: out}
 	err = t.run(ctx)
-	c.release(ctx, grant, err)
+	c.release(ctx, t, err)
 	if err == nil {
 		if alone {
 			c.clear(ctx, dispatch)
@@ -168,12 +168,12 @@
 }
 
 // release gives the grant back in the background.
-func (c *call) release(ctx context.Context, grant sched.Grant, err error) {
-	c.server.ledger.remove(grant.Cell, grant.ID)
+func (c *call) release(ctx context.Context, t *transfer, err error) {
+	c.server.ledger.remove(t.grant.Cell, t.grant.ID)
 	r := sched.Release{
-		Cell: grant.Cell, ID: grant.ID, PromptTokens: c.used.PromptTokens,
-		CompletionTokens: c.used.CompletionTokens,
-		Failed:           err != nil && !fault.Is(err, fault.Canceled),
+		Cell: t.grant.Cell, ID: t.grant.ID, PromptTokens: c.used.PromptTokens,
+		CompletionTokens: c.used.CompletionTokens, FirstToken: t.firstToken(),
+		Failed: err != nil && !fault.Is(err, fault.Canceled),
 	}
 	if c.used.Details != nil {
 		r.CachedTokens = c.used.Details.CachedTokens
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -24,7 +24,9 @@
 	grant sched.Grant
 	out   sink
 	// next is the sequence number of the next frame.
-	next int
+	next       int
+	started    time.Time
+	firstPiece time.Time
 	// base is the number of pieces that earlier attempts passed on.
 	base int
 	// crashed says that the engine died under the stream.
@@ -44,6 +46,7 @@
 	// The stream may outlive its reader on the engine, so it is canceled there
 	// unless it came to its end.
 	defer t.cleanUp(ctx)
+	t.started = time.Now()
 	reader, err := t.start(ctx)
 	if err != nil {
 		return err
@@ -159,6 +162,9 @@
 // deliver passes a piece on.
 func (t *transfer) deliver(piece string) error {
 	c := t.call
+	if t.firstPiece.IsZero() {
+		t.firstPiece = time.Now()
+	}
 	if err := t.out.text(piece); err != nil {
 		return err
 	}
@@ -169,6 +175,15 @@
 	return nil
 }
 
+// firstToken returns the time from the start of the stream to its first token,
+// or zero when there was none.
+func (t *transfer) firstToken() time.Duration {
+	if t.firstPiece.IsZero() {
+		return 0
+	}
+	return t.firstPiece.Sub(t.started)
+}
+
 // finish ends the answer with the engine's usage figures. What earlier attempts
 // generated was part of this attempt's prompt and counts as generated.
 func (t *transfer) finish(f engine.Frame) error {
