--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -229,3 +229,27 @@
 	t.Logf("without permits: %s, %d platform calls, %d loads in flight at most", took, calls.Total(), w.most)
 	require.Greater(t, w.most, defaultLoadLimit)
 }
+
+// Guards against a stop that the next owner of the cell does not know, and one
+// that an operator cannot lift.
+func TestStopOutlivesOwner(t *testing.T) {
+	w := newWorld(defaultLoadLimit, 30*time.Second)
+	fill(w, "x", 8, "v1")
+	w.bad = "v2"
+	within(t, w, func(store *netem.Store) {
+		w.set(desired("v2", 8))
+		first, second := newNode("p", w, store, nil), newNode("q", w, store, nil)
+		first.own("x", true, seed)
+		time.Sleep(time.Minute)
+		first.close()
+		require.Equal(t, 1, w.sentOrders())
+		second.own("x", true, seed)
+		time.Sleep(5 * time.Minute)
+		require.Equal(t, 1, w.sentOrders())
+		second.runs["x"].Resume("m")
+		time.Sleep(5 * time.Minute)
+		require.Equal(t, 2, w.sentOrders())
+		require.Len(t, second.runs["x"].Snapshot().Stopped, 1)
+		second.close()
+	})
+}
