Remove two data races from the configuration tests

Cause: go test -race ./internal/config found a test that replaced a running keeper's store and one that read the list of problems without its lock. Conclusion: the program itself was not involved; no check is weaker.

--- a/internal/config/capacity_test.go
+++ b/internal/config/capacity_test.go
@@ -140,7 +140,7 @@
 			require.Equal(t, uint64(2), n.keeper.Revision(), n.name)
 			require.Len(t, n.table.Members(), nodes, n.name)
 		}
-		require.Empty(t, f.problems)
+		require.Empty(t, f.found())
 		require.NoError(t, f.stop())
 	})
 	return m
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -134,6 +134,13 @@
 	f.problems = append(f.problems, fmt.Sprintf(format, args...))
 }
 
+// found returns the problems so far.
+func (f *fleet) found() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.problems)
+}
+
 // disturb allows nodes to be declared dead, and to declare others dead, from
 // now until a while after the disturbance.
 func (f *fleet) disturb(d time.Duration, nodes ...*node) {
--- a/internal/config/keeper_test.go
+++ b/internal/config/keeper_test.go
@@ -85,12 +85,14 @@
 	for name, without := range map[string]Mechanism{"fenced": 0, "without the fence": CollectionFence} {
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, without, func(ctx context.Context, f *fleet) {
-				k := f.nodes[0].keeper
-				k.store.store = &hooked{Store: k.store.store, before: func() {
+				store := &hooked{Store: f.nodes[0].client, before: func() {
 					removed, err := f.nodes[1].keeper.Collect(ctx)
 					require.NoError(t, err)
 					require.Equal(t, 1, removed)
 				}}
+				k := New(Options{
+					Store: store, Members: f.nodes[0].table, Random: f.random, Log: f.nodes[0].keeper.log, Join: join, Without: without,
+				})
 				m, err := k.Apply(ctx, 1, contents("second"), "ada")
 				require.NoError(t, err)
 				kept := len(f.store.Keys(PartPrefix + m.Parts["organisations-00"].Hash))
@@ -116,7 +118,7 @@
 				_, err = k.store.Put(ctx, ManifestKey, old.Value, now.Revision)
 				require.NoError(t, err)
 				time.Sleep(acceptTime)
-				require.Equal(t, without == 0, len(f.problems) == 0)
+				require.Equal(t, without == 0, len(f.found()) == 0)
 				if without == 0 {
 					_, err = k.Apply(ctx, 1, contents("third"), "ada")
 					require.Equal(t, fault.Stale, fault.KindOf(err))
@@ -181,7 +183,7 @@
 		require.Equal(t, uint64(31), history[0].Revision)
 		require.Equal(t, uint64(11), history[HistorySize].Revision)
 		f.checkParts(ctx, "end")
-		require.Empty(t, f.problems)
+		require.Empty(t, f.found())
 		_, err = k.RollBack(ctx, 31, 3, "ada")
 		require.Equal(t, fault.NotFound, fault.KindOf(err))
 	})
