daemon: share the host list in a failure domain and run the model orders

One node of each failure domain reads the platform's list, at most 15 KiB/s of it; the others ask that node, which answers with the list only when its hash has changed. At 2,480 hosts (about half a megabyte) every node reading the list each four seconds would take 125 KB/s; control may use 30 KB/s. TestHostListIsShared: of eight nodes only the reader calls the platform, and the others have a changed list within 16 s after the reader died. The scheduler of a cell also runs its model orders, and the alarm on late configurations gets its values.

--- a/docs/operators/pages_test.go
+++ b/docs/operators/pages_test.go
@@ -125,7 +125,7 @@
 	}
 	require.Equal(t, []string{
 		"alarms", "bad-configuration", "certificates", "commands", "configuration", "drain", "errors", "installing",
-		"mass-replacement", "partition", "platform-outage", "quarantine", "settings",
+		"mass-replacement", "models", "partition", "platform-outage", "quarantine", "settings",
 	}, cmdset.Topics())
 	refers := regexp.MustCompile("verbenapierctl help ([a-z-]+)")
 	for _, topic := range cmdset.Topics() {
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -34,3 +34,11 @@
 	past, err := decode(entry.Value)
 	return past.Manifest, err
 }
+
+// Newest returns the highest revision that this node knows of, whether it is
+// in force here or not.
+func (k *Keeper) Newest() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return max(k.wanted, k.Revision())
+}
--- a/internal/daemon/alarms.go
+++ b/internal/daemon/alarms.go
@@ -13,6 +13,7 @@
 		LateRequests:  d.entry.Late,
 		ClaimsRefused: d.claimsRefused.Load,
 		Memory:        d.engineMemory,
+		Config:        func() (inForce, newest uint64) { return d.config.Revision(), d.config.Newest() },
 		Drain:         d.drainLeft,
 	}))
 }
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -13,6 +13,7 @@
 	"github.com/verbenapier/verbenapier/internal/cells"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/order"
 	"github.com/verbenapier/verbenapier/internal/plat"
 	"github.com/verbenapier/verbenapier/internal/sched"
 	"github.com/verbenapier/verbenapier/internal/wire"
@@ -40,6 +41,7 @@
 	members    membership
 	document   func() (*confd.Document, uint64, error)
 	caller     wire.Caller
+	store      plat.Store
 	engines    *engine.Client
 	log        logrus.FieldLogger
 	metrics    tally.Scope
@@ -60,6 +62,8 @@
 // ownedCell is a cell that this node schedules.
 type ownedCell struct {
 	scheduler *sched.Scheduler
+	orders    *order.Reconciler
+	reports   *reports
 	group     *group.Group
 	pollers   map[string]context.CancelFunc
 }
@@ -164,17 +168,44 @@
 			Cell: cell.Name, Owner: c.name, Engines: c.engines, Log: log,
 			Metrics: c.metrics.Tagged(map[string]string{"cell": cell.Name}),
 		}),
+		reports: &reports{},
 		group:   group.New(ctx),
 		pollers: map[string]context.CancelFunc{},
 	}
+	o.orders = order.New(order.Options{
+		Cell: cell.Name, Node: c.name, Store: c.store, Sender: c.engines,
+		Engines: func() []order.Engine { return c.orderEngines(cell.Name) }, Report: o.reports.last,
+		Desired: func() (order.Desired, bool) {
+			doc, revision, err := c.document()
+			if err != nil {
+				return order.Desired{}, false
+			}
+			return order.DesiredOf(doc, revision, cell.Service)
+		},
+		Logger: log, Scope: c.metrics.SubScope("order"),
+	})
 	o.group.Go("scheduler", o.scheduler.Run)
+	o.group.Go("orders", o.orders.Run)
 	c.owned[cell.Name] = o
 	log.WithField("event", "cell_gained").Info("this node schedules the cell")
 	return o
 }
 
+// orderEngines returns the engines of a cell that models are kept loaded on.
+func (c *cellSet) orderEngines(name string) []order.Engine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []order.Engine
+	for _, h := range c.cells[name].Engines {
+		if h.State == plat.HostLive {
+			list = append(list, order.Engine{Name: h.Name, Address: h.Address})
+		}
+	}
+	return list
+}
+
 func (c *cellSet) poll(o *ownedCell, key string, host plat.Host) {
-	p := &poller{engine: host, scheduler: o.scheduler, client: c.engines, log: c.log}
+	p := &poller{engine: host, scheduler: o.scheduler, reports: o.reports, client: c.engines, log: c.log}
 	ctx, cancel := context.WithCancel(o.group.Context())
 	o.pollers[key] = cancel
 	o.group.Go("poller", func(context.Context) error { return p.run(ctx) })
@@ -298,6 +329,18 @@
 	return nil
 }
 
+// orderSnapshots returns the state of the reconcilers that this node runs.
+func (c *cellSet) orderSnapshots() map[string]order.Snapshot {
+	c.mu.Lock()
+	owned := maps.Clone(c.owned)
+	c.mu.Unlock()
+	list := make(map[string]order.Snapshot, len(owned))
+	for name, o := range owned {
+		list[name] = o.orders.Snapshot()
+	}
+	return list
+}
+
 // snapshots returns the state of the schedulers that this node runs.
 func (c *cellSet) snapshots() []sched.Snapshot {
 	c.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -157,10 +157,11 @@
 	})
 	d.config.Register(d.mux)
 	d.members.Carry(d.config)
-	d.hosts = newHosts(d.store, d.log)
+	d.hosts = newHosts(d.store, d.caller, d.members, d.log)
+	d.hosts.register(d.mux)
 	d.cells = &cellSet{
 		name: d.settings.Name, maxEngines: d.settings.CellEngines, hosts: d.hosts, members: d.members,
-		document: d.document, caller: d.caller, engines: engine.NewClient(dialer.Transport(d.network.Dial)), log: d.log,
+		document: d.document, caller: d.caller, store: d.store, engines: engine.NewClient(dialer.Transport(d.network.Dial)), log: d.log,
 		metrics: d.metrics.SubScope("sched"), owned: map[string]*ownedCell{},
 	}
 	d.cells.register(d.mux)
--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -2,60 +2,161 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/verbenapier/verbenapier/internal/cells"
+	"github.com/verbenapier/verbenapier/internal/member"
 	"github.com/verbenapier/verbenapier/internal/plat"
+	"github.com/verbenapier/verbenapier/internal/wire"
+	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
 const (
-	// hostsInterval is the mean time between readings of the platform's list.
-	hostsInterval = 5 * time.Second
+	methodHosts = "hosts.fetch"
+
+	// hostsInterval is the mean time between two readings of a short list.
+	hostsInterval = 4 * time.Second
 	hostsTimeout  = 2 * time.Second
+	// hostsRate bounds the mean rate at which a node reads the platform's list,
+	// in bytes per second. A list of 2,500 hosts has half a megabyte.
+	hostsRate = 15 << 10
+	// hostsMaxAge is the age at which the list of a peer is not worth taking.
+	hostsMaxAge = 2 * time.Minute
 )
 
-// hosts keeps the last host list that the platform gave. During an outage the
-// list stays as it is.
+// hosts keeps the last host list that the platform gave. One node of each
+// failure domain reads the platform; the others ask that node, which sends the
+// list only when it has changed. During an outage the list stays as it is.
 type hosts struct {
-	lister plat.HostLister
-	log    logrus.FieldLogger
+	lister  plat.HostLister
+	caller  wire.Caller
+	members membership
+	log     logrus.FieldLogger
 
 	mu      sync.Mutex
 	list    []plat.Host
+	hash    uint64
+	size    int
 	read    time.Time
 	changed chan struct{}
 }
 
-func newHosts(lister plat.HostLister, log logrus.FieldLogger) *hosts {
-	return &hosts{lister: lister, log: log, changed: make(chan struct{}, 1)}
+// hostsQuery asks a peer for its list unless it has the given hash.
+type hostsQuery struct {
+	Hash uint64 `json:"hash"`
+}
+
+// hostsReply is the peer's list. Hosts is empty when the hash is the same.
+type hostsReply struct {
+	Hash      uint64      `json:"hash"`
+	AgeMillis int64       `json:"age_ms"`
+	Hosts     []plat.Host `json:"hosts,omitempty"`
+}
+
+func newHosts(lister plat.HostLister, caller wire.Caller, members membership, log logrus.FieldLogger) *hosts {
+	return &hosts{lister: lister, caller: caller, members: members, log: log, changed: make(chan struct{}, 1)}
 }
 
-// Run reads the list until the context ends.
+func (h *hosts) register(mux *wire.Mux) {
+	mux.Handle(methodHosts, wire.Typed(func(_ context.Context, _ string, q hostsQuery) (hostsReply, error) {
+		return h.reply(q)
+	}))
+}
+
+// Run keeps the list up to date until the context ends.
 func (h *hosts) Run(ctx context.Context) error {
 	for {
 		h.refresh(ctx)
-		if !sleep(ctx, jitter(hostsInterval)) {
+		if !sleep(ctx, jitter(h.interval())) {
 			return nil
 		}
 	}
 }
 
+// refresh asks the reader of this failure domain, or the platform when that is
+// this node or cannot answer.
 func (h *hosts) refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, hostsTimeout)
 	defer cancel()
+	reader, ok := h.reader()
+	if ok && h.ask(ctx, reader) == nil {
+		return
+	}
 	list, err := h.lister.Hosts(ctx)
 	if err != nil {
 		h.log.WithError(err).WithField("event", "hosts_unavailable").Warn("the host list was not read; the last one stays in use")
 		return
 	}
+	h.set(list, time.Now())
+}
+
+// reader returns the member of this failure domain that reads the platform,
+// unless it is this node.
+func (h *hosts) reader() (member.Member, bool) {
+	self := h.members.Self()
+	var near []member.Member
+	for _, m := range h.members.Members() {
+		if m.FailureDomain == self.FailureDomain && m.Usable() {
+			near = append(near, m)
+		}
+	}
+	reader, ok := cells.OwnerOf("hosts/"+self.FailureDomain, "", near)
+	return reader, ok && reader.Name != self.Name
+}
+
+// ask takes over the list of a peer. It fails when that list is too old.
+func (h *hosts) ask(ctx context.Context, peer member.Member) error {
+	h.mu.Lock()
+	hash := h.hash
+	h.mu.Unlock()
+	var reply hostsReply
+	if err := h.caller.Call(ctx, peer.PeerAddress, methodHosts, hostsQuery{Hash: hash}, &reply); err != nil {
+		return err
+	}
+	age := time.Duration(reply.AgeMillis) * time.Millisecond
+	if age > hostsMaxAge {
+		return fault.New(fault.Stale, "the host list of %s is %s old", peer.Name, age)
+	}
+	if reply.Hash != hash {
+		h.set(reply.Hosts, time.Now().Add(-age))
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.read = time.Now().Add(-age)
+	return nil
+}
+
+// reply answers a peer. NotFound says that this node has no list yet.
+func (h *hosts) reply(q hostsQuery) (hostsReply, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.read.IsZero() {
+		return hostsReply{}, fault.New(fault.NotFound, "no host list was read yet")
+	}
+	reply := hostsReply{Hash: h.hash, AgeMillis: time.Since(h.read).Milliseconds()}
+	if q.Hash != h.hash {
+		reply.Hosts = h.list
+	}
+	return reply, nil
+}
+
+// set puts a list in use and tells Changed when it differs.
+func (h *hosts) set(list []plat.Host, read time.Time) {
 	slices.SortFunc(list, func(a, b plat.Host) int { return strings.Compare(a.Name, b.Name) })
+	// Hosts are plain data, so encoding them cannot fail.
+	data, _ := json.Marshal(list)
+	hash := xxhash.Sum64(data)
 	h.mu.Lock()
-	same := slices.Equal(h.list, list)
-	h.list, h.read = list, time.Now()
+	same := hash == h.hash
+	h.list, h.hash, h.size, h.read = list, hash, len(data), read
 	h.mu.Unlock()
 	if same {
 		return
@@ -66,6 +167,17 @@
 	}
 }
 
+// interval returns the mean time to the next reading. Asking a peer costs a
+// small message, so only the reader slows down for a long list.
+func (h *hosts) interval() time.Duration {
+	if _, ok := h.reader(); ok {
+		return hostsInterval
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(hostsInterval, time.Duration(h.size)*time.Second/hostsRate)
+}
+
 // All returns the last list, sorted by name.
 func (h *hosts) All() []plat.Host {
 	h.mu.Lock()
@@ -76,7 +188,7 @@
 // Changed delivers a value after the list has changed.
 func (h *hosts) Changed() <-chan struct{} { return h.changed }
 
-// Age returns the time since the list was last read.
+// Age returns the time since the list was read from the platform.
 func (h *hosts) Age() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- /dev/null
+++ b/internal/daemon/hosts_test.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/netem"
+	"github.com/verbenapier/verbenapier/internal/plat"
+	"github.com/verbenapier/verbenapier/internal/wire"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// fixedMembers is a membership that tests change by hand.
+type fixedMembers struct {
+	self member.Member
+	all  *[]member.Member
+}
+
+func (f fixedMembers) Self() member.Member      { return f.self }
+func (f fixedMembers) Members() []member.Member { return *f.all }
+func (f fixedMembers) Changed() <-chan struct{} { return nil }
+
+// Guards against every node reading the whole host list from the platform,
+// against a changed list that does not arrive, and against a domain without a
+// list after its reader died.
+func TestHostListIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 8
+		log := logrus.New()
+		log.SetLevel(logrus.PanicLevel)
+		network := netem.New(1, netem.Link{Delay: time.Millisecond})
+		store := netem.NewStore(1)
+		store.SetHosts([]plat.Host{{Name: "engine-0", Role: plat.RoleEngine, State: plat.HostLive}})
+		members := make([]member.Member, 0, nodes)
+		lists := make([]*hosts, 0, nodes)
+		g := group.New(t.Context())
+		for i := range nodes {
+			m := member.Member{Name: fmt.Sprintf("n%d", i), PeerAddress: fmt.Sprintf("n%d:1", i), FailureDomain: "a", State: member.Alive}
+			members = append(members, m)
+			mux := wire.NewMux()
+			endpoint := network.Attach(m.Name, m.PeerAddress, mux)
+			h := newHosts(store.Client(endpoint), endpoint, fixedMembers{m, &members}, log)
+			h.register(mux)
+			lists = append(lists, h)
+		}
+		for _, h := range lists {
+			g.Go("hosts", h.Run)
+		}
+		time.Sleep(time.Minute)
+		before := store.Calls().Hosts
+		time.Sleep(time.Minute)
+		calls := store.Calls().Hosts - before
+		require.Positive(t, calls)
+		require.Less(t, calls, 2*int(time.Minute/hostsInterval), "only the reader asks the platform")
+
+		store.SetHosts([]plat.Host{{Name: "engine-1", Role: plat.RoleEngine, State: plat.HostLive}})
+		reader, ok := lists[0].reader()
+		if !ok {
+			reader = lists[0].members.Self()
+		}
+		network.Kill(reader.Name)
+		members = remove(members, reader.Name)
+		time.Sleep(4 * hostsInterval)
+		for i, h := range lists {
+			if h.members.Self().Name != reader.Name {
+				require.Equal(t, "engine-1", h.All()[0].Name, "node %d", i)
+				require.Less(t, h.Age(), 4*hostsInterval)
+			}
+		}
+		g.Stop()
+		require.NoError(t, g.Wait())
+		require.NoError(t, network.Close())
+	})
+}
+
+func remove(members []member.Member, name string) []member.Member {
+	var rest []member.Member
+	for _, m := range members {
+		if m.Name != name {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -234,6 +234,7 @@
 		"hosts":     s.hosts.All(),
 		"cells":     s.Cells(),
 		"sched":     s.cells.snapshots(),
+		"order":     s.cells.orderSnapshots(),
 		"requests":  s.entry.Requests(),
 		"poison":    s.poison.List(),
 		"alarms":    s.alarms.Active(),
--- a/internal/daemon/poller.go
+++ b/internal/daemon/poller.go
@@ -24,6 +24,7 @@
 type poller struct {
 	engine    plat.Host
 	scheduler *sched.Scheduler
+	reports   *reports
 	client    *engine.Client
 	log       logrus.FieldLogger
 	failures  int
@@ -46,9 +47,11 @@
 }
 
 func (p *poller) load(ctx context.Context) {
+	asked := time.Now()
 	report, err := p.client.Load(ctx, p.engine.Address)
 	if err == nil {
 		p.failures = 0
+		p.reports.note(p.engine.Name, report, asked)
 		p.scheduler.Report(p.engine.Name, p.engine.Address, report)
 		return
 	}
