--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,6 +8,8 @@
 #   MIX        prompt lengths and weights, default 1k:80,16k:15,300k:5
 #   KILL       name of a process to kill in the middle of the load, such as
 #              node-b or engine-2
+#   STOP       name of a process to suspend (SIGSTOP) from the middle of the
+#              load on for PAUSE seconds, default 10
 #   KEEP       set to keep the deployment running after the load until Ctrl-C
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -141,6 +143,10 @@
 if [ -n "${KILL:-}" ]; then
   (sleep $((${duration%s} / 2)) && echo "killing $KILL" && kill -9 "${pids[$KILL]}") &
 fi
+if [ -n "${STOP:-}" ]; then
+  (sleep $((${duration%s} / 2)) && echo "suspending $STOP" && kill -STOP "${pids[$STOP]}" &&
+    sleep "${PAUSE:-10}" && kill -CONT "${pids[$STOP]}" && echo "resuming $STOP") &
+fi
 "$bin/vbload" --address "127.0.0.1:$((base + 30))" --address "127.0.0.1:$((base + 33))" --address "127.0.0.1:$((base + 36))" \
   --key "$key" --model assistant-large --rate "$rate" --duration "$duration" --mix "$mix" --timeout 60s \
   --plain-share 0.1 --plain-path /services/mooring-desk/bookings \
