Refuse waiting requests when their engines are lost

EngineLost removed an engine and the next SetEngines brought it back as one that had never reported, so requests were admitted and waited for it until their time limit. Losing the last engine with a request waiting ended in an index out of range in the placement search.

A lost engine now keeps its place without being used until it reports. Requests that no usable engine can serve are refused as unreachable, and after a loss those predicted to start too late as unattainable. Engines that are leaving no longer count as memory. A grant on a lost engine is not adopted.

The prediction ignores that memory in use has to become free first, so some requests may still be refused only at their latest start.

--- a/internal/sched/admission.go
+++ b/internal/sched/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -68,22 +69,16 @@
 // admit refuses at once what the cell cannot hold or finish in time, and what
 // exceeds the organisation's share of a full queue.
 func (s *Scheduler) admit(t *ticket, now time.Time) error {
-	room, loaded := s.modelRoom(t.req.Model)
-	switch {
-	case len(s.slots) == 0:
-		return fault.New(fault.Unreachable, "cell %s has no engine", s.opts.Cell)
-	case s.reports > 0 && !loaded:
-		return fault.New(fault.Unreachable, "no engine of cell %s has model %s loaded", s.opts.Cell, t.req.Model)
-	case s.reports > 0 && t.need > room:
-		return fault.New(fault.TooLong, "the request needs %d tokens of memory and the cell has %d", t.need, room)
+	if err := s.unserved(t); err != nil {
+		return err
 	}
 	if !s.policy.admission {
-		if s.lanes[t.lane].count >= hardLimit*s.rules.MaxQueued*len(s.slots) {
+		if s.lanes[t.lane].count >= hardLimit*s.rules.MaxQueued*s.engines() {
 			return fault.New(fault.Overloaded, "the queue of cell %s is full", s.opts.Cell)
 		}
 		return nil
 	}
-	if busy := s.index.root().busy[t.class]; s.reports == len(s.slots) && !math.IsInf(busy, 1) && !now.Before(s.rebuilt) {
+	if busy := s.index.root().busy[t.class]; s.usable > 0 && s.pending == 0 && !math.IsInf(busy, 1) && !now.Before(s.rebuilt) {
 		start := now.Add(toDuration(max(0, busy-s.since(now))))
 		if start.After(t.latestStart()) {
 			return fault.New(fault.Unattainable, "the request needs about %s and has %s",
@@ -100,8 +95,8 @@
 // share of it. An organisation without a waiting request is within its share.
 func (s *Scheduler) overShare(t *ticket) bool {
 	l := &s.lanes[t.lane]
-	maxCount := float64(s.rules.MaxQueued * len(s.slots))
-	maxSeconds := laneQueueFactor[t.lane] * s.rules.MaxQueueWait.Seconds() * float64(len(s.slots))
+	maxCount := float64(s.rules.MaxQueued * s.engines())
+	maxSeconds := laneQueueFactor[t.lane] * s.rules.MaxQueueWait.Seconds() * float64(s.engines())
 	fullness := max(float64(l.count+1)/maxCount, (l.seconds+t.seconds)/maxSeconds)
 	o := l.orgs[t.req.Organisation]
 	if fullness <= 1 || o == nil {
@@ -112,35 +107,46 @@
 	return fullness > hardLimit || used > share
 }
 
-// capacities caches the memory of the engines by model.
-type capacities struct {
-	total map[string]int
-	top   map[string]int
+// engines is the number of engines that serve the queue or soon will.
+func (s *Scheduler) engines() int { return max(1, s.usable+s.pending) }
+
+// modelRoom is the memory, in tokens, of the engines that serve a model.
+type modelRoom struct {
+	// engines counts the usable ones, total is their memory and top the
+	// greatest of them.
+	engines, total, top int
+	// known also counts engines that are lost or leaving.
+	known int
 }
 
-func (s *Scheduler) forgetCapacities() { s.capacity = capacities{map[string]int{}, map[string]int{}} }
+func (s *Scheduler) forgetCapacities() { s.capacity = map[string]modelRoom{} }
 
-// modelRoom is the memory of all engines that have the model loaded.
-func (s *Scheduler) modelRoom(model string) (tokens int, loaded bool) {
-	if n, ok := s.capacity.total[model]; ok {
-		return n, n > 0
+// room returns the memory for a model. Engines to avoid count only as known.
+func (s *Scheduler) room(model string, avoid []string) modelRoom {
+	if r, ok := s.capacity[model]; ok && len(avoid) == 0 {
+		return r
 	}
-	total, top := 0, 0
+	var r modelRoom
 	for _, e := range s.slots {
-		if e.reported && e.serves(model) {
-			total += e.capacity
-			top = max(top, e.capacity)
+		if !e.serves(model) {
+			continue
+		}
+		r.known += e.capacity
+		if e.usable() && !slices.Contains(avoid, e.name) {
+			r.engines++
+			r.total += e.capacity
+			r.top = max(r.top, e.capacity)
 		}
 	}
-	s.capacity.total[model], s.capacity.top[model] = total, top
-	return total, total > 0
+	if len(avoid) == 0 {
+		s.capacity[model] = r
+	}
+	return r
 }
 
 // singleRoom is the most memory that one engine may give to the class.
 func (s *Scheduler) singleRoom(model string, c class) int {
-	s.modelRoom(model)
-	top := s.capacity.top[model]
-	return int((1 - keepsOut[c]*s.shortShare) * float64(top))
+	return int((1 - keepsOut[c]*s.shortShare) * float64(s.room(model, nil).top))
 }
 
 const (
--- /dev/null
+++ b/internal/sched/forecast_test.go
@@ -0,0 +1,166 @@
+package sched
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/internal/engine"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+func infosOf(leaving string, names ...string) []EngineInfo {
+	infos := make([]EngineInfo, len(names))
+	for i, n := range names {
+		infos[i] = EngineInfo{Name: n, Address: n, Leaving: n == leaving}
+	}
+	return infos
+}
+
+// Guards against requests that wait for engines which do not come back, until
+// half of their time limit has passed, instead of going to another cell, and
+// against an engine that is not used again after it reported.
+func TestEnginesLost(t *testing.T) {
+	names := []string{"a", "b"}
+	plain := Request{Model: "all", PromptTokens: 8_000}
+	cases := map[string]struct {
+		request Request
+		lose    func(*Scheduler)
+	}{
+		"all lost": {plain, func(s *Scheduler) { s.EngineLost("a"); s.EngineLost("b") }},
+		"lost and listed again": {plain, func(s *Scheduler) {
+			s.EngineLost("a")
+			s.SetEngines(infosOf("", names...))
+			s.EngineLost("b")
+			s.SetEngines(infosOf("", names...))
+		}},
+		"lost and leaving": {plain, func(s *Scheduler) {
+			s.SetEngines(infosOf("a", names...))
+			s.EngineLost("b")
+		}},
+		"not listed":               {plain, func(s *Scheduler) { s.SetEngines(nil) }},
+		"only engine of the model": {Request{Model: "m", PromptTokens: 8_000}, func(s *Scheduler) { s.EngineLost("a") }},
+		"model unloaded": {Request{Model: "m", PromptTokens: 8_000}, func(s *Scheduler) {
+			s.Report("a", "a", engine.LoadReport{CapacityTokens: 10_000, UsedTokens: 9_000, Models: []engine.Model{{Name: "n"}}})
+		}},
+		"only engine not to avoid": {Request{Model: "all", PromptTokens: 8_000, Avoid: []string{"b"}}, func(s *Scheduler) { s.EngineLost("a") }},
+		"needs both engines":       {Request{Model: "all", PromptTokens: 16_000}, func(s *Scheduler) { s.EngineLost("a") }},
+		"alone":                    {Request{Model: "all", PromptTokens: 100, Alone: true, Fingerprint: "f"}, func(s *Scheduler) { s.EngineLost("b"); s.EngineLost("a") }},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(t, map[string]int{"a": 10_000, "b": 10_000})
+				s := fleetScheduler(t, f, names, nil)
+				s.Report("a", "a", engine.LoadReport{CapacityTokens: 10_000, Models: []engine.Model{{Name: "m"}, {Name: "all"}}})
+				s.Report("b", "b", engine.LoadReport{CapacityTokens: 10_000, Models: []engine.Model{{Name: "n"}, {Name: "all"}}})
+				run := group.New(t.Context())
+				run.Go("run", s.Run)
+				for i, model := range []string{"m", "n"} {
+					r := ask(fmt.Sprint("hold", i), 9_000, time.Minute)
+					r.Model = model
+					_, err := s.Acquire(t.Context(), r)
+					require.NoError(t, err)
+				}
+				request := func(id string) Request {
+					r := tc.request
+					r.ID, r.Cell, r.Organisation, r.Remaining = id, "c", "o", time.Minute
+					return r
+				}
+				g, _ := acquireAll(t.Context(), s, request("1"), request("2"))
+				time.Sleep(time.Second)
+				start := time.Now()
+				tc.lose(s)
+				require.Equal(t, fault.Unreachable, fault.KindOf(g.Wait()), "waiting")
+				_, err := s.Acquire(t.Context(), request("3"))
+				require.Equal(t, fault.Unreachable, fault.KindOf(err), "new: %v", err)
+				require.Zero(t, time.Since(start), "refused at once")
+
+				time.Sleep(time.Minute)
+				s.SetEngines(infosOf("", names...))
+				for _, n := range names {
+					s.Report(n, n, engine.LoadReport{CapacityTokens: 10_000})
+				}
+				_, err = s.Acquire(t.Context(), request("4"))
+				require.NoError(t, err, "the engines are used again")
+				run.Stop()
+				require.NoError(t, run.Wait())
+			})
+		})
+	}
+}
+
+// Guards against a new owner that refuses requests before the engines had
+// time to report.
+func TestFirstReportAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 10_000, "b": 10_000})
+		s := fleetScheduler(t, f, nil, nil)
+		s.SetEngines(infosOf("", "a", "b"))
+		g, got := acquireAll(t.Context(), s, ask("1", 8_000, time.Minute))
+		time.Sleep(time.Second)
+		s.EngineLost("a")
+		require.Empty(t, got["1"], "b may still report")
+		s.Report("b", "b", f.load("b"))
+		require.NoError(t, g.Wait())
+		require.Equal(t, "b", (<-got["1"]).Engine)
+	})
+}
+
+// Guards against requests that wait for their deadline although the remaining
+// engine cannot reach them, and against the refusal of those it can serve.
+func TestLateAfterLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 50_000, "b": 50_000})
+		s := fleetScheduler(t, f, []string{"a", "b"}, nil)
+		run := group.New(t.Context())
+		run.Go("run", s.Run)
+		// Each request takes 2 s of prefill; the engines serve one at a time.
+		var mu sync.Mutex
+		refused, served := map[time.Duration]int{}, 0
+		start := time.Now()
+		callers := group.New(t.Context())
+		for i := range 24 {
+			callers.Go("caller", func(ctx context.Context) error {
+				g, err := s.Acquire(ctx, ask(fmt.Sprint(i), 38_000, 32*time.Second))
+				if fault.Is(err, fault.Unattainable) {
+					mu.Lock()
+					defer mu.Unlock()
+					refused[time.Since(start)]++
+					return nil
+				}
+				if err != nil {
+					return err
+				}
+				time.Sleep(2 * time.Second)
+				mu.Lock()
+				served++
+				mu.Unlock()
+				s.Release(Release{ID: g.ID, PromptTokens: 38_000, FirstToken: 2 * time.Second})
+				return nil
+			})
+		}
+		time.Sleep(5 * time.Second)
+		require.Empty(t, refused, "both engines serve all")
+		s.EngineLost("a")
+		synctest.Wait()
+		atOnce := refused[5*time.Second]
+		require.Positive(t, atOnce)
+		require.NoError(t, callers.Wait())
+		t.Log("refused at", refused, "served", served)
+		late := 0
+		for _, n := range refused {
+			late += n
+		}
+		require.LessOrEqual(t, late-atOnce, 2, "the others are served: %v", refused)
+		require.GreaterOrEqual(t, served, 16)
+		run.Stop()
+		require.NoError(t, run.Wait())
+	})
+}
--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -110,7 +110,7 @@
 }
 
 func (x *index) find(q *search) {
-	if len(x.nodes) >= 2 {
+	if len(x.slots) > 0 {
 		x.visit(1, q)
 	}
 }
--- a/internal/sched/run.go
+++ b/internal/sched/run.go
@@ -258,10 +258,7 @@
 	}
 	g.shares = s.heldShares(e, h)
 	for _, sh := range g.shares {
-		if sh.slot.exclusive != nil || h.Alone && len(sh.slot.grants) > 0 || sh.slot.draining {
-			return nil, false
-		}
-		if sh.slot.reported && sh.slot.capacity-sh.slot.reserved-sh.slot.held-sh.slot.freeing < sh.tokens {
+		if !sh.slot.adoptable(sh.tokens, h.Alone) {
 			return nil, false
 		}
 	}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -26,13 +26,15 @@
 	policy  policy
 	est     estimator
 
-	// slots are the engines; reports counts those that have reported.
+	// slots are the engines; usable counts those that may take new work,
+	// pending those that have not reported yet.
 	slots    []*slot
 	byName   map[string]*slot
-	reports  int
+	usable   int
+	pending  int
 	index    index
 	prefixes *prefixIndex
-	capacity capacities
+	capacity map[string]modelRoom
 
 	tickets      map[requestKey]*ticket
 	lanes        [laneCount]lane
@@ -103,10 +105,13 @@
 func (s *Scheduler) reindex() {
 	s.index.rebuild(s.slots, s.shortShare)
 	s.forgetCapacities()
-	s.reports = 0
+	s.usable, s.pending = 0, 0
 	for _, e := range s.slots {
-		if e.reported {
-			s.reports++
+		switch {
+		case e.usable():
+			s.usable++
+		case e.pending():
+			s.pending++
 		}
 	}
 }
@@ -190,7 +195,7 @@
 	}
 	t.class = classOf(req.PromptTokens, s.rules.ShortPromptTokens)
 	t.lane = int(t.class)
-	if req.Alone || t.need > s.singleRoom(req.Model, t.class) && s.reports > 0 {
+	if req.Alone || t.need > s.singleRoom(req.Model, t.class) && s.usable > 0 {
 		t.lane = laneGather
 	}
 	out := s.est.output * float64(req.MaxTokens)
@@ -512,6 +517,7 @@
 	e.apply(r, now)
 	if !known || capacity != e.capacity || !sameModels(models, e.report.Models) {
 		s.reindex()
+		s.refuseUnserved()
 	}
 	s.index.update(e)
 	s.pump(now)
@@ -532,22 +538,33 @@
 }
 
 // EngineLost ends every grant that used the engine. Its entry nodes learn it
-// from their next renewal.
+// from their next renewal. The engine is used again after its next report.
+// Waiting requests that the remaining engines cannot serve are refused.
 func (s *Scheduler) EngineLost(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lose(name, time.Now())
-	s.pump(time.Now())
+	e, ok := s.byName[name]
+	if !ok || e.lost {
+		return
+	}
+	now := time.Now()
+	s.lose(e, e.afterLoss(), now)
+	s.refuseUnserved()
+	s.refuseLate(now)
+	s.pump(now)
 	s.notify()
 }
 
-func (s *Scheduler) lose(name string, now time.Time) {
-	e, ok := s.byName[name]
-	if !ok {
-		return
+// lose ends the use of an engine and puts another one, unless nil, into its
+// place.
+func (s *Scheduler) lose(e, replacement *slot, now time.Time) {
+	delete(s.byName, e.name)
+	i := slices.Index(s.slots, e)
+	if replacement != nil {
+		s.slots[i], s.byName[e.name] = replacement, replacement
+	} else {
+		s.slots = slices.Delete(s.slots, i, i+1)
 	}
-	delete(s.byName, name)
-	s.slots = slices.DeleteFunc(s.slots, func(o *slot) bool { return o == e })
 	s.reindex()
 	s.prefixes.forget(e)
 	s.loseMember(e, now)
@@ -558,11 +575,12 @@
 			s.breakGrant(g, now)
 		}
 	}
-	s.opts.Log.WithField("engine", name).Info("engine_lost")
+	s.opts.Log.WithField("engine", e.name).Info("engine_lost")
 }
 
 // SetEngines replaces the list of engines. Engines that are not listed any
-// more are lost; an engine with a new address is a new engine.
+// more are lost; an engine with a new address is a new engine. An engine that
+// EngineLost named stays out of use until it reports.
 func (s *Scheduler) SetEngines(infos []EngineInfo) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -571,10 +589,13 @@
 	for _, i := range infos {
 		keep[i.Name] = i
 	}
+	fewer := false
 	for _, e := range slices.Clone(s.slots) {
-		if i, ok := keep[e.name]; !ok || i.Address != e.address {
-			s.lose(e.name, now)
+		i, ok := keep[e.name]
+		if !ok || i.Address != e.address {
+			s.lose(e, nil, now)
 		}
+		fewer = fewer || !ok || i.Address != e.address || i.Leaving && !e.leaving
 	}
 	for _, i := range infos {
 		e, ok := s.byName[i.Name]
@@ -586,6 +607,10 @@
 		e.leaving = i.Leaving
 	}
 	s.reindex()
+	s.refuseUnserved()
+	if fewer {
+		s.refuseLate(now)
+	}
 	s.pump(now)
 	s.notify()
 }
@@ -616,9 +641,9 @@
 func (s *Scheduler) digest(now time.Time) Digest {
 	root := s.index.root()
 	d := Digest{FreeTokens: root.freeTotal, QueuedTokens: s.queuedTokens}
-	if s.reports > 0 && !math.IsInf(root.busy[classShort], 1) {
+	if s.usable > 0 && !math.IsInf(root.busy[classShort], 1) {
 		wait := max(0, root.busy[classShort]-s.since(now))
-		d.Wait = toDuration(wait + s.lanes[classShort].seconds/float64(s.reports))
+		d.Wait = toDuration(wait + s.lanes[classShort].seconds/float64(s.usable))
 	}
 	return d
 }
--- a/internal/sched/slot.go
+++ b/internal/sched/slot.go
@@ -13,6 +13,8 @@
 	leaving       bool
 	report        engine.LoadReport
 	reported      bool
+	// lost engines stay out of use until their next report.
+	lost bool
 	// measured is when the engine took the last report, lastGrant when it was
 	// last given a request.
 	measured, lastGrant time.Time
@@ -56,6 +58,22 @@
 	}
 }
 
+// afterLoss returns the slot that takes the place of a lost engine. Its last
+// capacity, models and speeds are kept, its bookings are not.
+func (e *slot) afterLoss() *slot {
+	n := newSlot(EngineInfo{Name: e.name, Address: e.address})
+	n.lost, n.leaving = true, e.leaving
+	n.report, n.capacity = e.report, e.capacity
+	n.rate, n.peak, n.step = e.rate, e.peak, e.step
+	return n
+}
+
+// usable reports whether the engine may take new work at all.
+func (e *slot) usable() bool { return e.reported && !e.leaving }
+
+// pending reports whether the first report of the engine is awaited.
+func (e *slot) pending() bool { return !e.reported && !e.lost && !e.leaving }
+
 func (e *slot) free() int { return e.capacity - e.reserved - e.held - e.foreign - e.freeing }
 
 // longCap is the memory that long requests may use.
@@ -71,7 +89,16 @@
 }
 
 func (e *slot) open() bool {
-	return e.reported && !e.leaving && !e.draining && e.exclusive == nil
+	return e.usable() && !e.draining && e.exclusive == nil
+}
+
+// adoptable reports whether a grant of an earlier owner may be booked.
+// Reservations whose release the engine has not confirmed still take memory.
+func (e *slot) adoptable(tokens int, alone bool) bool {
+	if e.lost || e.draining || e.exclusive != nil || alone && len(e.grants) > 0 {
+		return false
+	}
+	return !e.reported || e.capacity-e.reserved-e.held-e.freeing >= tokens
 }
 
 // serves reports whether the engine has the model loaded. An engine that
@@ -144,7 +171,7 @@
 	if e.reported && measured.Before(e.measured) {
 		return
 	}
-	e.report, e.reported, e.measured = r, true, measured
+	e.report, e.reported, e.lost, e.measured = r, true, false, measured
 	e.capacity = r.CapacityTokens
 	booked := 0
 	for _, g := range e.grants {
--- a/internal/sched/snapshot.go
+++ b/internal/sched/snapshot.go
@@ -50,6 +50,7 @@
 	Reported  bool          `json:"reported"`
 	ReportAge time.Duration `json:"report_age_ns"`
 	Leaving   bool          `json:"leaving"`
+	Lost      bool          `json:"lost"`
 	Exclusive bool          `json:"exclusive"`
 }
 
@@ -91,7 +92,7 @@
 		snap.Engines = append(snap.Engines, EngineSnapshot{
 			Name: e.name, Capacity: e.capacity, Reserved: e.reserved, Held: e.held, Foreign: e.foreign,
 			Grants: len(e.grants), Reported: e.reported, ReportAge: now.Sub(e.measured),
-			Leaving: e.leaving, Exclusive: e.exclusive != nil,
+			Leaving: e.leaving, Lost: e.lost, Exclusive: e.exclusive != nil,
 		})
 	}
 	slices.SortFunc(snap.Engines, func(a, b EngineSnapshot) int { return cmp.Compare(a.Name, b.Name) })
