--- a/emul/system/deploy_test.go
+++ b/emul/system/deploy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -34,6 +35,7 @@
 	key          = "key-of-a-shop"
 	platformHost = "platform"
 	callerHost   = "caller"
+	operatorHost = "operator"
 	platformAddr = "10.0.0.1:80"
 	crashMarker  = "CRASH-THE-ENGINE"
 	nodeCount    = 3
@@ -42,20 +44,55 @@
 	capacity     = 120_000
 )
 
+const operatorTimeout = 10 * time.Second
+
 var domains = []string{"sofia-a", "sofia-b", "sofia-c"}
 
+// plan says how a deployment differs from the usual one. Zero fields have
+// defaults.
+type plan struct {
+	engines  int
+	capacity int
+	// engineDomains are the failure domains of the engines in turn. Each
+	// failure domain is a cell.
+	engineDomains []string
+	document      string
+	// engine wraps the HTTP handler of each engine.
+	engine func(http.Handler) http.Handler
+	// log receives what the daemons log, at debug level.
+	log io.Writer
+}
+
+func (p plan) withDefaults() plan {
+	p.engines, p.capacity = cmp.Or(p.engines, engineCount), cmp.Or(p.capacity, capacity)
+	p.document = cmp.Or(p.document, document)
+	if p.engineDomains == nil {
+		p.engineDomains = domains
+	}
+	if p.engine == nil {
+		p.engine = func(next http.Handler) http.Handler { return next }
+	}
+	return p
+}
+
 // deployment is a platform, engines, plain upstreams and daemons.
 type deployment struct {
+	plan      plan
 	t         *testing.T
 	net       *network
 	group     *group.Group
 	log       *logrus.Logger
+	nodeLog   *logrus.Logger
 	authority certs.Pair
+	operator  *tls.Config
 	platform  *fault.Switch
+	desks     [deskCount]*fault.Switch
 	engines   map[string]*engineProcess
 	nodes     map[string]*nodeProcess
 
 	mu sync.Mutex
+	// starts counts the starts sent to engines.
+	starts int
 	// ran holds the prompts that an engine began, with the engines.
 	ran map[string][]string
 	// toldNotRun counts the prompts answered as not run.
@@ -65,6 +102,7 @@
 
 type engineProcess struct {
 	model *batch.Engine
+	sw    *fault.Switch
 	stop  context.CancelFunc
 }
 
@@ -80,6 +118,11 @@
 
 // deploy starts everything and waits until a configuration is in force.
 func deploy(t *testing.T) *deployment {
+	t.Helper()
+	return deployPlan(t, plan{})
+}
+
+func deployPlan(t *testing.T, p plan) *deployment {
 	t.Helper()
 	time.Sleep(time.Until(lastEnd))
 	log := logrus.New()
@@ -87,15 +130,22 @@
 	if testing.Verbose() && *trace {
 		log.SetLevel(logrus.InfoLevel)
 	}
+	nodeLog := log
+	if p.log != nil {
+		nodeLog = logrus.New()
+		nodeLog.SetLevel(logrus.DebugLevel)
+		nodeLog.SetOutput(p.log)
+	}
 	authority, err := certs.Authority("ca", 24*time.Hour)
 	require.NoError(t, err)
 	d := &deployment{
-		t: t, net: newNetwork(time.Millisecond), group: group.New(context.Background()), log: log, authority: authority,
+		plan: p.withDefaults(), t: t, net: newNetwork(time.Millisecond), group: group.New(context.Background()),
+		log: log, nodeLog: nodeLog, authority: authority,
 		engines: map[string]*engineProcess{}, nodes: map[string]*nodeProcess{},
 		ran: map[string][]string{}, sent: map[string]int{}, toldNotRun: map[string]int{},
 	}
 	d.startPlatform()
-	for i := range engineCount {
+	for i := range d.plan.engines {
 		d.startEngine(i)
 	}
 	for i := range deskCount {
@@ -137,11 +187,11 @@
 }
 
 func (d *deployment) startPlatform() {
-	hosts := make([]plat.Host, 0, engineCount+deskCount+nodeCount)
-	for i := range engineCount {
+	hosts := make([]plat.Host, 0, d.plan.engines+deskCount+nodeCount)
+	for i := range d.plan.engines {
 		hosts = append(hosts, plat.Host{
 			Name: engineName(i), Role: "engine", Service: "drafting", Address: engineAddr(i),
-			FailureDomain: domains[i%len(domains)], State: "live",
+			FailureDomain: d.plan.engineDomains[i%len(d.plan.engineDomains)], State: "live",
 		})
 	}
 	for i := range deskCount {
@@ -165,7 +215,7 @@
 func (d *deployment) serve(ctx context.Context, name, address string, handler http.Handler, sw *fault.Switch) {
 	listener, err := host{d.net, name}.Listen(ctx, address)
 	require.NoError(d.t, err)
-	server := &http.Server{Handler: sw.Wrap(handler), ConnContext: sw.ConnContext, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: d.countStarts(sw.Wrap(handler)), ConnContext: sw.ConnContext, ReadHeaderTimeout: time.Minute}
 	d.group.Go(name, func(context.Context) error {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stop()
@@ -186,7 +236,7 @@
 	}
 	sw := fault.NewSwitch(d.log, uint64(i), crash)
 	model := batch.New(batch.Config{
-		Name: name, CapacityTokens: capacity, PrefillRate: 40_000, PrefillKnee: 400_000, ChunkTokens: 1024,
+		Name: name, CapacityTokens: d.plan.capacity, PrefillRate: 40_000, PrefillKnee: 400_000, ChunkTokens: 1024,
 		MaxBatch: 64, StepBase: 20 * time.Millisecond, StepPerStream: 300 * time.Microsecond,
 		StepPerContext: 50 * time.Microsecond, TimeScale: 1, LoadLag: 500 * time.Millisecond,
 		EventLag: time.Second, EventGap: 0.02, Seed: uint64(i), Role: "mixed", CrashMarker: crashMarker, Crash: crash,
@@ -194,13 +244,26 @@
 		Peers:   standin.NewPeers(&http.Client{Transport: &http.Transport{DialContext: host{d.net, name}.DialContext}}),
 		Control: sw, LoadTime: time.Second,
 	})
-	d.engines[name] = &engineProcess{model: model, stop: cancel}
+	d.engines[name] = &engineProcess{model: model, sw: sw, stop: cancel}
 	d.group.Go(name, func(context.Context) error {
 		model.Run(ctx)
 		return nil
 	})
 	d.net.revive(name)
-	d.serve(ctx, name, engineAddr(i), d.record(name, standin.New(d.log, model)), sw)
+	d.serve(ctx, name, engineAddr(i), d.record(name, d.plan.engine(standin.New(d.log, model))), sw)
+}
+
+// countStarts counts the starts that reach a stand-in, even those that its
+// faults keep from having an effect.
+func (d *deployment) countStarts(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && r.URL.Path == "/v1/streams" {
+			d.mu.Lock()
+			d.starts++
+			d.mu.Unlock()
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // record notes which prompts an engine begins.
@@ -246,6 +309,7 @@
 
 func (d *deployment) startDesk(i int) {
 	sw := fault.NewSwitch(d.log, uint64(i), func() {})
+	d.desks[i] = sw
 	server := plain.New(d.log, plain.Config{
 		Name: deskName(i), Status: http.StatusOK, Latency: 5 * time.Millisecond, Capacity: 64,
 		LoadLag: time.Second, Seed: uint64(i), Slow: sw.Slow,
@@ -265,7 +329,7 @@
 		d.authority.Certificate, pair.Certificate, pair.Key))
 	require.NoError(d.t, err)
 	d.net.revive(name)
-	process, err := daemon.New(settings, host{d.net, name}, d.log)
+	process, err := daemon.New(settings, host{d.net, name}, d.nodeLog)
 	require.NoError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &nodeProcess{stop: cancel, ended: make(chan error, 1)}
@@ -292,23 +356,34 @@
 
 // apply writes the configuration through the operators' interface.
 func (d *deployment) apply(base int) {
-	pair, err := certs.Operator(d.authority, "operator", time.Hour)
-	require.NoError(d.t, err)
-	cert, err := tls.X509KeyPair(pair.Certificate, pair.Key)
-	require.NoError(d.t, err)
-	transport := &http.Transport{
-		DialContext:     host{d.net, "operator"}.DialContext,
-		TLSClientConfig: &tls.Config{Certificates: []tls.Certificate{cert}, InsecureSkipVerify: true},
+	status, body := d.operate(0, http.MethodPut, fmt.Sprintf("config?base=%d", base), d.plan.document)
+	require.Equal(d.t, http.StatusOK, status, body)
+}
+
+// operate sends a request to the operators' interface of a node. Without an
+// answer the status is 0.
+func (d *deployment) operate(node int, method, path, body string) (int, string) {
+	if d.operator == nil {
+		pair, err := certs.Operator(d.authority, "operator", 12*time.Hour)
+		require.NoError(d.t, err)
+		cert, err := tls.X509KeyPair(pair.Certificate, pair.Key)
+		require.NoError(d.t, err)
+		d.operator = &tls.Config{Certificates: []tls.Certificate{cert}, InsecureSkipVerify: true}
 	}
+	transport := &http.Transport{DialContext: host{d.net, operatorHost}.DialContext, TLSClientConfig: d.operator}
 	defer transport.CloseIdleConnections()
-	target := fmt.Sprintf("https://%s/admin/v1/config?base=%d", nodeAddr(0, 82), base)
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPut, target, strings.NewReader(document))
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	target := fmt.Sprintf("https://%s/admin/v1/%s", nodeAddr(node, 82), path)
+	req, err := http.NewRequestWithContext(ctx, method, target, strings.NewReader(body))
 	require.NoError(d.t, err)
 	resp, err := (&http.Client{Transport: transport}).Do(req)
-	require.NoError(d.t, err)
+	if err != nil {
+		return 0, err.Error()
+	}
 	defer func() { _ = resp.Body.Close() }()
-	body, _ := io.ReadAll(resp.Body)
-	require.Equal(d.t, http.StatusOK, resp.StatusCode, string(body))
+	data, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data)
 }
 
 var document = fmt.Sprintf(`{
