--- a/emul/system/deploy_test.go
+++ b/emul/system/deploy_test.go
@@ -111,6 +111,13 @@
 	ended chan error
 }
 
+// awaitEnd waits for the end of the process, which may be awaited again.
+func (n *nodeProcess) awaitEnd(t *testing.T) {
+	err := <-n.ended
+	n.ended <- err
+	require.NoError(t, err)
+}
+
 // lastEnd is the virtual time at which the last deployment ended. The uuid
 // library never goes back in time within a process, so each deployment starts
 // after the last.
