--- a/internal/cmdset/secret.go
+++ b/internal/cmdset/secret.go
@@ -1,6 +1,7 @@
 package cmdset
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"io/fs"
@@ -40,10 +41,16 @@
 	return s.say(map[string]string{"hash": hash}, "%s", hash)
 }
 
+// The default validity of certificates. An authority outlives what it signs.
+const (
+	authorityValidity = 10 * 365 * 24 * time.Hour
+	signedValidity    = 90 * 24 * time.Hour
+)
+
 // certOptions are the flags of all cert commands.
 type certOptions struct {
 	Name     string        `long:"name" required:"true" description:"common name"`
-	Validity time.Duration `long:"validity" default:"2160h" description:"how long the certificate is valid"`
+	Validity time.Duration `long:"validity" description:"how long the certificate is valid (default: 87600h for an authority, 2160h for others)"`
 	Out      string        `long:"out" default:"." description:"directory for NAME.pem and NAME-key.pem"`
 }
 
@@ -68,7 +75,7 @@
 	if _, err := s.parse(&o, "--name NAME", 0, 0); err != nil {
 		return err
 	}
-	pair, err := certs.Authority(o.Name, o.Validity)
+	pair, err := certs.Authority(o.Name, cmp.Or(o.Validity, authorityValidity))
 	return s.save(o, pair, err)
 }
 
@@ -92,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	pair, err := certs.Node(authority, o.Name, addresses, o.Validity)
+	pair, err := certs.Node(authority, o.Name, addresses, cmp.Or(o.Validity, signedValidity))
 	return s.save(o.certOptions, pair, err)
 }
 
@@ -105,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	pair, err := certs.Operator(authority, o.Name, o.Validity)
+	pair, err := certs.Operator(authority, o.Name, cmp.Or(o.Validity, signedValidity))
 	return s.save(o.certOptions, pair, err)
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -78,7 +78,7 @@
 
 # Certificates for the daemons and for an operator.
 sign=(--authority "$run/ca.pem" --authority-key "$run/ca-key.pem" --out "$run")
-"$bin/verbenapierctl" cert authority --name ca --validity 8760h --out "$run" >/dev/null
+"$bin/verbenapierctl" cert authority --name ca --out "$run" >/dev/null
 for n in a b c; do
   i=$(($(printf '%d' "'$n") - 97))
   "$bin/verbenapierctl" cert node --name "node-$n" --ip 127.0.0.1 "${sign[@]}" >/dev/null
