--- a/internal/member/options.go
+++ b/internal/member/options.go
@@ -77,6 +77,8 @@
 	surveyFailures = 2
 	historyMask    = 0b111
 	surveyWorkers  = 128
+	// maxVerified is how many reports of deaths are verified at a time.
+	maxVerified = 8
 
 	indirectProbes = 3
 	pushFanout     = 4
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -36,6 +36,7 @@
 				t.survey(ctx)
 			}
 		}
+		t.verify(ctx)
 		last = time.Now()
 		t.mu.Lock()
 		t.expire(last)
@@ -43,6 +44,44 @@
 	}
 }
 
+// verify probes the members that peers reported dead. A member that is silent
+// to this node and to others as well is taken for dead at once: its peers have
+// suspected it for suspicionTime, and doing so again would leave the views of
+// nodes apart for more than ten seconds. Reports beyond maxVerified wait for the
+// end of the suspicion, so that the loop does not stall.
+func (t *Table) verify(ctx context.Context) {
+	t.mu.Lock()
+	reported := t.reported[:min(len(t.reported), maxVerified)]
+	t.reported = nil
+	t.mu.Unlock()
+	if len(reported) == 0 {
+		return
+	}
+	begin := time.Now()
+	verdicts := make([]verdict, len(reported))
+	g := group.New(ctx)
+	for i, m := range reported {
+		g.Go("verify", func(ctx context.Context) error {
+			verdicts[i] = t.probe(ctx, m)
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil || ctx.Err() != nil || t.stalled(begin) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i, m := range reported {
+		r := t.records[m.Name]
+		if verdicts[i] != verdictSilent || r == nil || r.State != Suspect || r.Incarnation != m.Incarnation {
+			continue
+		}
+		u := r.Member
+		u.State = Dead
+		t.set(r, u)
+	}
+}
+
 // round probes one member and returns 1 when it was silent, otherwise 0.
 func (t *Table) round(ctx context.Context) int {
 	begin := time.Now()
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -30,10 +30,13 @@
 	seeds   map[string]string
 	queue   queue
 	pushes  map[string]Member
-	config  Revisions
-	ring    []string
-	changed chan struct{}
-	counts  Counts
+	// reported are the members that a peer declared dead and that this node
+	// did not suspect before.
+	reported []Member
+	config   Revisions
+	ring     []string
+	changed  chan struct{}
+	counts   Counts
 }
 
 // record is what is known of another member.
@@ -167,11 +170,16 @@
 		t.set(known, u)
 		return
 	}
-	if u.State == Dead && t.without&Refutation == 0 && u.Incarnation >= known.Incarnation && !known.refutable(u.Incarnation) {
+	reported := u.State == Dead && t.without&Refutation == 0 && u.Incarnation >= known.Incarnation &&
+		!known.refutable(u.Incarnation)
+	if reported {
 		u.State = Suspect
 	}
 	if u.overrides(known.Member) {
 		t.set(known, u)
+		if reported {
+			t.reported = append(t.reported, known.Member)
+		}
 	}
 }
 
