Free reservations and book grants correctly with two schedulers

A test runs two schedulers of one cell at once, with engines that refuse what does not fit. It showed four faults:

- A scheduler that stopped made its last calls to engines with an ended context, and dropped those that a last call left behind.
Reservations then stayed until their time to live, up to the time limit of the request.
- A gathered grant that ended before the new owner adopted it left its reservations in the same way.
- A grant was adopted, or a gathering completed, beside memory that the other scheduler's streams use.
This was reported as overcommitment.

--- a/internal/sched/gather.go
+++ b/internal/sched/gather.go
@@ -21,6 +21,8 @@
 	// reservationGrace is added to the time limit for the time to live of a
 	// reservation.
 	reservationGrace = 15 * time.Second
+	// gatherPrefix begins the ids of reservations and of their grants.
+	gatherPrefix = "gather-"
 )
 
 // gathering collects memory for one request on one or more engines while
@@ -61,7 +63,7 @@
 	t.state, t.pool = stateGathering, t.class
 	s.gather = &gathering{
 		ticket: t, members: members, until: now.Add(s.opts.GatherHold),
-		id: fmt.Sprintf("gather-%s-%d-%08x", t.req.ID, t.req.Attempt, s.opts.Rand.Uint32()),
+		id: fmt.Sprintf(gatherPrefix+"%s-%d-%08x", t.req.ID, t.req.Attempt, s.opts.Rand.Uint32()),
 	}
 	s.addPin(t.req.Fingerprint, members[0].slot)
 	for _, m := range members {
@@ -154,7 +156,8 @@
 			e.held += n
 			s.index.update(e)
 		}
-		complete = complete && m.got == m.want &&
+		// Streams that other schedulers started may have taken held memory.
+		complete = complete && m.got == m.want && e.free() >= 0 &&
 			(!g.ticket.req.Alone || len(e.grants) == 0 && e.foreign == 0)
 	}
 	switch {
--- a/internal/sched/run.go
+++ b/internal/sched/run.go
@@ -49,9 +49,7 @@
 			s.mu.Unlock()
 			for _, j := range jobs {
 				g.Go("job", func(ctx context.Context) error {
-					ctx, cancel := context.WithTimeout(ctx, s.opts.CallTimeout)
-					defer cancel()
-					j(ctx, s)
+					s.runJob(ctx, j)
 					return nil
 				})
 			}
@@ -65,16 +63,26 @@
 	})
 	err := g.Wait()
 	s.stop()
-	// Reservations of an unfinished gathering are freed even though ctx ended.
-	s.mu.Lock()
-	jobs := s.takeJobs()
-	s.mu.Unlock()
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.opts.CallTimeout)
-	defer cancel()
-	for _, j := range jobs {
-		j(last, s)
+	// A job may leave another one that frees its reservations.
+	for {
+		s.mu.Lock()
+		jobs := s.takeJobs()
+		s.mu.Unlock()
+		if len(jobs) == 0 {
+			return err
+		}
+		for _, j := range jobs {
+			s.runJob(ctx, j)
+		}
 	}
-	return err
+}
+
+// runJob makes a call to an engine even when ctx has ended: a reservation that
+// is not freed would stay for the time limit of its request.
+func (s *Scheduler) runJob(ctx context.Context, j job) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.opts.CallTimeout)
+	defer cancel()
+	j(ctx, s)
 }
 
 func (s *Scheduler) takeJobs() []job {
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -619,3 +619,61 @@
 		require.Equal(t, fault.NotOwner, e.Kind())
 	})
 }
+
+// Guards against an adopted grant that is booked over a reservation whose
+// release the engine has not confirmed.
+func TestAdoptDuringRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 10_000, "b": 10_000})
+		f.refuse["b"] = true
+		s := fleetScheduler(t, f, []string{"a", "b"}, nil)
+		g, _ := acquireAll(t.Context(), s, ask("both", 18_000, time.Second))
+		synctest.Wait()
+		runJobs := func() {
+			s.mu.Lock()
+			jobs := s.takeJobs()
+			s.mu.Unlock()
+			require.NotEmpty(t, jobs)
+			for _, j := range jobs {
+				j(t.Context(), s)
+			}
+		}
+		runJobs() // b refuses, and the release on a is queued
+		held := Renewal{Cell: "c", Held: []Held{{ID: "g", RequestID: "r", Engine: "a", Organisation: "o", Tokens: 8_000}}}
+		unknown, err := s.Renew(held)
+		require.NoError(t, err)
+		require.Equal(t, []string{"g"}, unknown, "a has not confirmed the release")
+		runJobs()
+		unknown, err = s.Renew(held)
+		require.NoError(t, err)
+		require.Empty(t, unknown)
+		require.Error(t, g.Wait())
+	})
+}
+
+// Guards against reservations that stay until their time to live because the
+// request ended before the new owner adopted its grant.
+func TestReleaseAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, map[string]int{"a": 10_000, "b": 10_000})
+		old := fleetScheduler(t, f, []string{"a", "b"}, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		first, second := group.New(ctx), group.New(t.Context())
+		first.Go("run", old.Run)
+		req := ask("both", 18_000, time.Hour)
+		g, err := old.Acquire(t.Context(), req)
+		require.NoError(t, err)
+		f.start(g, req)
+		cancel()
+		require.NoError(t, first.Wait())
+		f.end(g)
+		s := fleetScheduler(t, f, []string{"a", "b"}, nil)
+		second.Go("run", s.Run)
+		require.Positive(t, f.reserved())
+		s.Release(Release{ID: g.ID, PromptTokens: 18_000})
+		time.Sleep(time.Second)
+		require.Zero(t, f.reserved())
+		second.Stop()
+		require.NoError(t, second.Wait())
+	})
+}
--- a/internal/sched/slot.go
+++ b/internal/sched/slot.go
@@ -92,13 +92,18 @@
 	return e.usable() && !e.draining && e.exclusive == nil
 }
 
+// foreignWithout is the memory of streams without a grant when one of them,
+// which uses up to tokens, receives one.
+func (e *slot) foreignWithout(tokens int) int { return max(0, e.listed-tokens, e.unbooked-tokens) }
+
 // adoptable reports whether a grant of an earlier owner may be booked.
-// Reservations whose release the engine has not confirmed still take memory.
+// Reservations whose release the engine has not confirmed still take memory,
+// and so do other streams without a grant.
 func (e *slot) adoptable(tokens int, alone bool) bool {
 	if e.lost || e.draining || e.exclusive != nil || alone && len(e.grants) > 0 {
 		return false
 	}
-	return !e.reported || e.capacity-e.reserved-e.held-e.freeing >= tokens
+	return !e.reported || e.capacity-e.reserved-e.held-e.freeing-e.foreignWithout(tokens) >= tokens
 }
 
 // serves reports whether the engine has the model loaded. An engine that
