Hold memory for a gathering only from the predicted time on

Prompts over 128 k tokens waited minutes for their grant; after it, prefill was near the speed of an idle engine. A gathering chose its engines by what was free at the moment and held it idle until the rest followed: 12 to 16% of all memory, while another 24% could not be used.

The engines are now those predicted to have the memory first, from the booked ends of their grants. Until the predicted time nothing is held, and medium and long requests may use the memory when they end before it. From then on memory is held as before, for at most the hold time.

At load 0.8 the long prompts need 55% of the fleet's memory by the model's constants, so minutes of waiting remain.

--- a/internal/sched/compare_test.go
+++ b/internal/sched/compare_test.go
@@ -18,6 +18,7 @@
 var (
 	seedFlag  = flag.Uint64("seed", 1, "seed of the comparison workload")
 	tableFlag = flag.Bool("table", false, "print the comparison tables")
+	longFlag  = flag.Bool("long", false, "print only what long prompts wait for, for the weighted policy on the first deployment")
 	quickFlag = flag.Bool("quick", false, "print only the rows for the first deployment")
 )
 
@@ -42,6 +43,10 @@
 // invariant, loses a request or keeps books after the last one. With -table
 // it prints the comparison of docs/scheduling.md.
 func TestCompare(t *testing.T) {
+	if *longFlag {
+		printLong(t)
+		return
+	}
 	if *tableFlag {
 		printTables(t)
 		return
@@ -89,6 +94,41 @@
 	t.Log(b.String())
 }
 
+// printLong prints the shortened table: what long prompts wait for at loads
+// of 0.8 and 1.
+func printLong(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("\n| load | seed | bin | first token p50/p95 s | until the grant p50/p95 s | slowness after it p50/p95 | engines | refused | memory used/booked/held/waiting % | short p95 s, blocking ratio |\n|" + strings.Repeat("---|", 10) + "\n")
+	for _, load := range []float64{0.8, 1} {
+		cfg := simConfig{
+			policy: PolicyWeighted, cells: deployments[0].cells, weights: deployments[0].weights, load: load,
+			seed: *seedFlag, duration: 10 * time.Minute, delay: time.Second,
+		}
+		r := runSim(t, cfg)
+		cfg.noLong = true
+		short, without := seconds(r.short, 95), seconds(runSim(t, cfg).short, 95)
+		refused := 0
+		for _, n := range r.refused {
+			refused += n
+		}
+		for bin := 2; bin < len(binNames); bin++ {
+			fmt.Fprintf(&b, "| %.1f | %d | %s | %.1f/%.1f | %.1f/%.1f | %.1f/%.1f | %.1f | %d | %.0f/%.0f/%.0f/%.0f | %.3f, %.2f |\n",
+				load, cfg.seed, binNames[bin], seconds(r.first[bin], 50), seconds(r.first[bin], 95),
+				quantile(r.granted[bin], 50), quantile(r.granted[bin], 95), quantile(r.slowness[bin], 50), quantile(r.slowness[bin], 95),
+				mean(r.engines[bin]), refused, 100*mean(r.memory), 100*mean(r.booked), 100*mean(r.held), 100*mean(r.waiting), short, short/without)
+		}
+	}
+	t.Log(b.String())
+}
+
+func quantile(v []float64, q int) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	s := slices.Sorted(slices.Values(v))
+	return s[min(len(s)-1, len(s)*q/100)]
+}
+
 func tableHeader(b *strings.Builder) {
 	fmt.Fprintf(b, "| policy | load | report delay s | first token p50/p95/p99 s: %s | between tokens p95 ms | goodput k tokens/s | finished | late | refused %% | by kind | share deviation | memory used/booked mean, booked max %% |\n", strings.Join(binNames, " | "))
 	b.WriteString("|" + strings.Repeat("---|", 11+len(binNames)) + "\n")
--- a/internal/sched/gather.go
+++ b/internal/sched/gather.go
@@ -18,6 +18,9 @@
 	gatherAfter = time.Second
 	// reserveRetry is the pause after an engine refused a reservation.
 	reserveRetry = time.Second
+	// maxGatherWait bounds how far ahead the memory of a gathering may be
+	// predicted; one that is predicted later ends after the hold time.
+	maxGatherWait = 2 * time.Minute
 	// reservationGrace is added to the time limit for the time to live of a
 	// reservation.
 	reservationGrace = 15 * time.Second
@@ -26,13 +29,18 @@
 )
 
 // gathering collects memory for one request on one or more engines while
-// their running requests end. There is at most one in a cell; it ends after
-// the hold time. Reservations are all or nothing.
+// their running requests end. There is at most one in a cell; it ends when the
+// hold time has passed after ready. Reservations are all or nothing.
 type gathering struct {
 	ticket  *ticket
 	members []gatherShare
 	until   time.Time
-	id      string
+	// ready is when the members are predicted to have the memory, in seconds
+	// since the epoch, and predicted when that was computed. Until then nothing
+	// is held, and requests that end earlier may use the memory.
+	ready     float64
+	predicted time.Time
+	id        string
 	// reserving is set while the engines are asked for the reservations,
 	// aborted when the result is not wanted any more.
 	reserving, aborted bool
@@ -55,7 +63,7 @@
 	if now.Before(t.notBefore) {
 		return blocked
 	}
-	members := s.gatherMembers(t)
+	members := s.gatherMembers(t, now)
 	if members == nil {
 		return blocked
 	}
@@ -72,13 +80,18 @@
 			s.index.update(m.slot)
 		}
 	}
+	s.predictReady(now)
+	if wait := s.gather.ready - s.since(now); wait < maxGatherWait.Seconds() {
+		s.gather.until = s.gather.until.Add(toDuration(wait))
+	}
 	s.collect(now)
 	return taken
 }
 
-// gatherMembers picks the fewest engines that can hold the ticket, those with
-// the most memory available first. The leader has the least prefill ahead.
-func (s *Scheduler) gatherMembers(t *ticket) []gatherShare {
+// gatherMembers picks the fewest engines that can hold the ticket, those that
+// are predicted to have the memory first. The leader has the least prefill
+// ahead.
+func (s *Scheduler) gatherMembers(t *ticket, now time.Time) []gatherShare {
 	var usable []*slot
 	for _, e := range s.slots {
 		if e.open() && e.serves(t.req.Model) && !slices.Contains(t.req.Avoid, e.name) {
@@ -96,6 +109,13 @@
 	if t.req.Alone {
 		share = 0
 	}
+	if n := len(takeUntil(usable, t.need, share)); n > 0 && !t.req.Alone {
+		ready := map[*slot]float64{}
+		for _, e := range usable {
+			ready[e] = s.drained(e, t.need/n-available(e), s.since(now))
+		}
+		slices.SortStableFunc(usable, func(a, b *slot) int { return cmp.Compare(ready[a], ready[b]) })
+	}
 	chosen := takeUntil(usable, t.need, share)
 	if chosen == nil {
 		// The cell can hold the request only with the short share.
@@ -136,22 +156,42 @@
 	return nil
 }
 
-// collect takes memory that became free and completes the gathering when all
-// of it is there. Short requests keep their share of the members meanwhile.
+// collect takes memory that became free, from the predicted time on or when
+// all of it is free, and completes the gathering. Short requests keep their
+// share of the members meanwhile.
 func (s *Scheduler) collect(now time.Time) {
 	g := s.gather
 	if g == nil || g.reserving {
 		return
 	}
+	if now.Sub(g.predicted) >= expiryInterval {
+		s.predictReady(now)
+	}
+	complete := false
+	if g.ticket.req.Alone || s.since(now) >= g.ready || s.allSpare(g) {
+		complete = s.hold(g)
+	}
+	switch {
+	case complete && len(g.members) == 1:
+		s.finishGather(now, "")
+	case complete:
+		g.reserving = true
+		s.jobs = append(s.jobs, reserveJob(g, g.ticket.deadline.Sub(now)+reservationGrace))
+		s.notify()
+	case !now.Before(g.until):
+		s.opts.Log.WithField("request", g.ticket.req.ID).Info("gathering_expired")
+		s.endGather(now, s.opts.GatherHold/2)
+	}
+}
+
+// hold keeps what is free on the members from other requests and reports
+// whether the gathering has all of its memory.
+func (s *Scheduler) hold(g *gathering) bool {
 	complete := true
 	for i := range g.members {
 		m := &g.members[i]
 		e := m.slot
-		spare := e.free()
-		if keep := e.capacity - e.longCap(s.shortShare); !g.ticket.req.Alone && m.want <= e.longCap(s.shortShare) {
-			spare -= max(0, keep-(e.reserved-e.booked[classLong])-e.foreign)
-		}
-		if n := min(m.want-m.got, spare); n > 0 {
+		if n := min(m.want-m.got, s.spare(g, *m)); n > 0 {
 			m.got += n
 			e.held += n
 			s.index.update(e)
@@ -160,17 +200,67 @@
 		complete = complete && m.got == m.want && e.free() >= 0 &&
 			(!g.ticket.req.Alone || len(e.grants) == 0 && e.foreign == 0)
 	}
-	switch {
-	case complete && len(g.members) == 1:
-		s.finishGather(now, "")
-	case complete:
-		g.reserving = true
-		s.jobs = append(s.jobs, reserveJob(g, g.ticket.deadline.Sub(now)+reservationGrace))
-		s.notify()
-	case !now.Before(g.until):
-		s.opts.Log.WithField("request", g.ticket.req.ID).Info("gathering_expired")
-		s.endGather(now, s.opts.GatherHold/2)
+	return complete
+}
+
+// spare is the memory that a gathering may still take on a member.
+func (s *Scheduler) spare(g *gathering, m gatherShare) int {
+	e, spare := m.slot, m.slot.free()
+	if keep := e.capacity - e.longCap(s.shortShare); !g.ticket.req.Alone && m.want <= e.longCap(s.shortShare) {
+		spare -= max(0, keep-(e.reserved-e.booked[classLong])-e.foreign)
+	}
+	return spare
+}
+
+func (s *Scheduler) allSpare(g *gathering) bool {
+	return !slices.ContainsFunc(g.members, func(m gatherShare) bool { return s.spare(g, m) < m.want-m.got })
+}
+
+// predictReady predicts when all members of the gathering have the memory.
+func (s *Scheduler) predictReady(now time.Time) {
+	g, at := s.gather, s.since(now)
+	g.predicted, g.ready = now, at
+	for _, m := range g.members {
+		g.ready = max(g.ready, s.drained(m.slot, m.want-m.got-s.spare(g, m), at))
+	}
+}
+
+// drained predicts when the engine's grants have given back the missing
+// tokens, in seconds since the epoch.
+func (s *Scheduler) drained(e *slot, missing int, at float64) float64 {
+	if missing <= 0 {
+		return at
+	}
+	type end struct {
+		at     float64
+		tokens int
+	}
+	ends := make([]end, 0, len(e.grants))
+	for _, g := range e.grants {
+		ends = append(ends, end{max(at, g.prefillEnd) + s.est.output*float64(g.limit)*e.step, g.tokensOn(e)})
+	}
+	slices.SortFunc(ends, func(a, b end) int { return cmp.Or(cmp.Compare(a.at, b.at), a.tokens-b.tokens) })
+	for _, x := range ends {
+		if missing -= x.tokens; missing <= 0 {
+			return x.at
+		}
+	}
+	return math.Inf(1)
+}
+
+// outlasts reports whether the ticket would take memory that the gathering is
+// predicted to need before the ticket ends. Short requests are exempt: they
+// have their share and end soon.
+func (s *Scheduler) outlasts(e *slot, t *ticket, now time.Time) bool {
+	g := s.gather
+	if g == nil || g.reserving || g.ticket.req.Alone || t.class == classShort {
+		return false
+	}
+	i := slices.IndexFunc(g.members, func(m gatherShare) bool { return m.slot == e })
+	if i < 0 || s.since(now)+t.service.Seconds() <= g.ready {
+		return false
 	}
+	return s.spare(g, g.members[i])-(g.members[i].want-g.members[i].got) < t.need
 }
 
 // dropHeld gives back what the gathering holds.
@@ -318,7 +408,7 @@
 		case !pinned:
 			t.state, t.parked = stateQueued, nil
 			s.policy.order.push(t)
-		case t.lane != laneGather && s.fits(p.slot, t) && p.slot.wait(t.class, s.since(now)) <= s.window(t.class):
+		case t.lane != laneGather && s.fits(p.slot, t, now) && p.slot.wait(t.class, s.since(now)) <= s.window(t.class):
 			s.give(t, []share{{p.slot, t.need}}, "", now)
 		default:
 			t.parked = p.slot
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -428,6 +428,13 @@
 	demanded [simOrgs]float64
 	memory   []float64
 	booked   []float64
+	// held is the memory kept for gatherings, waiting the part of it and of
+	// the booked memory whose prefill has not begun.
+	held, waiting []float64
+	// granted, slowness and engines describe finished requests by bin: seconds
+	// until the grant, the time from the grant to the first token relative to
+	// an idle engine, and the engines used.
+	granted, slowness, engines [][]float64
 }
 
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 3_600_000_000, 3) }
@@ -437,6 +444,7 @@
 	sim.result = simResult{
 		short: newHistogram(), others: newHistogram(), gaps: newHistogram(), refused: map[fault.Kind]int{},
 	}
+	sim.result.granted, sim.result.slowness, sim.result.engines = make([][]float64, len(binNames)), make([][]float64, len(binNames)), make([][]float64, len(binNames))
 	for range binNames {
 		sim.result.first = append(sim.result.first, newHistogram())
 	}
@@ -521,6 +529,7 @@
 		Cell: cell.name, ID: cell.grants[c].ID, PromptTokens: c.req.PromptTokens,
 		CachedTokens: c.cached, CompletionTokens: st.generated, FirstToken: st.first.Sub(st.started),
 	})
+	shares := len(cell.grants[c].Shares)
 	delete(cell.grants, c)
 	cell.settle()
 	if sim.inWindow() {
@@ -537,6 +546,10 @@
 	}
 	first := st.first.Sub(c.arrived).Microseconds()
 	_ = sim.result.first[c.bin].RecordValue(first)
+	r := &sim.result
+	r.granted[c.bin] = append(r.granted[c.bin], st.started.Sub(c.arrived).Seconds())
+	r.slowness[c.bin] = append(r.slowness[c.bin], st.first.Sub(st.started).Seconds()*modelRate/prefillWork(c.cached, c.req.PromptTokens))
+	r.engines[c.bin] = append(r.engines[c.bin], float64(shares))
 	if c.req.PromptTokens <= defaultShortPrompt {
 		_ = sim.result.short.RecordValue(first)
 		if c.req.Organisation != "org-0" {
@@ -547,7 +560,7 @@
 
 // sample records the memory in use once a second.
 func (sim *simulation) sample() {
-	used, booked, total := 0, 0, 0
+	used, booked, total, held, waiting := 0, 0, 0, 0, 0
 	for _, c := range sim.cells {
 		for _, e := range c.engines {
 			used += e.used()
@@ -555,9 +568,21 @@
 		}
 		for _, e := range c.s.slots {
 			booked += e.reserved
+			held += e.held
+		}
+		for _, e := range c.engines {
+			for _, st := range e.streams {
+				if st.done == st.call.cached {
+					for _, n := range c.grants[st.call].Shares {
+						waiting += n
+					}
+				}
+			}
 		}
 	}
 	sim.result.memory = append(sim.result.memory, float64(used)/float64(total))
+	sim.result.held = append(sim.result.held, float64(held)/float64(total))
+	sim.result.waiting = append(sim.result.waiting, float64(waiting)/float64(total))
 	sim.result.booked = append(sim.result.booked, float64(booked)/float64(total))
 	if time.Since(sim.start) < sim.cfg.duration {
 		sim.events.after(time.Second, sim.sample)
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -138,10 +138,10 @@
 // streams, without correction for grants made since.
 type leastReported struct{}
 
-func (leastReported) place(s *Scheduler, t *ticket, _ time.Time) (*slot, verdict) {
+func (leastReported) place(s *Scheduler, t *ticket, now time.Time) (*slot, verdict) {
 	var best *slot
 	for _, e := range s.slots {
-		if !s.fits(e, t) {
+		if !s.fits(e, t, now) {
 			continue
 		}
 		if best == nil || reportedLoad(e) < reportedLoad(best) {
@@ -178,7 +178,7 @@
 	window := s.window(t.class)
 	root := s.index.root()
 	score := func(e *slot) (float64, bool) {
-		if allowed != nil && !allowed(e) || !s.fits(e, t) {
+		if allowed != nil && !allowed(e) || !s.fits(e, t, now) {
 			return 0, false
 		}
 		return s.score(e, t, at, s.prefixes.cached(e, t.req.Prefixes, now)), true
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -291,7 +291,7 @@
 	}
 	var e *slot
 	if p, ok := s.pins[t.req.Fingerprint]; ok && t.req.Fingerprint != "" {
-		if !s.fits(p.slot, t) || s.policy.admission && p.slot.wait(t.class, s.since(now)) > s.window(t.class) {
+		if !s.fits(p.slot, t, now) || s.policy.admission && p.slot.wait(t.class, s.since(now)) > s.window(t.class) {
 			s.park(t, p.slot)
 			return taken
 		}
@@ -316,9 +316,9 @@
 }
 
 // fits reports whether the engine may run the ticket now.
-func (s *Scheduler) fits(e *slot, t *ticket) bool {
+func (s *Scheduler) fits(e *slot, t *ticket, now time.Time) bool {
 	return e.open() && e.room(t.pool, s.shortShare) >= t.need && e.serves(t.req.Model) &&
-		!t.req.Alone && !slices.Contains(t.req.Avoid, e.name)
+		!t.req.Alone && !slices.Contains(t.req.Avoid, e.name) && !s.outlasts(e, t, now)
 }
 
 // give books a grant and decides the ticket. A grant with reservations has
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -417,7 +417,7 @@
 	at, best := s.since(now), math.Inf(1)
 	score := func(e *slot) float64 { return s.score(e, t, at, s.prefixes.cached(e, t.req.Prefixes, now)) }
 	for _, o := range s.slots {
-		if s.fits(o, t) && o.wait(t.class, at) <= s.window(t.class) {
+		if s.fits(o, t, now) && o.wait(t.class, at) <= s.window(t.class) {
 			best = min(best, score(o))
 		}
 	}
