--- /dev/null
+++ b/internal/daemon/bench_test.go
@@ -0,0 +1,219 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/internal/dialer"
+	"github.com/verbenapier/verbenapier/internal/engine"
+	"github.com/verbenapier/verbenapier/internal/entry"
+	"github.com/verbenapier/verbenapier/internal/plat"
+	"github.com/verbenapier/verbenapier/internal/sched"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+func quietLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	log.SetLevel(logrus.PanicLevel)
+	return log
+}
+
+// cpuTime returns the processor time that the process has used in user and in
+// system mode.
+func cpuTime(b *testing.B) (user, system time.Duration) {
+	var r syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &r))
+	return time.Duration(r.Utime.Nano()), time.Duration(r.Stime.Nano())
+}
+
+// stubEngine answers each request on a loopback socket with prepared bytes, so
+// that its own processor time is small beside the client's.
+type stubEngine struct {
+	listener net.Listener
+	group    *group.Group
+	bytes    atomic.Int64
+}
+
+func newStubEngine(b *testing.B, events int) *stubEngine {
+	listener, err := (&net.ListenConfig{}).Listen(b.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	e := &stubEngine{listener: listener, group: group.New(b.Context())}
+	load, err := json.Marshal(engine.LoadReport{
+		Engine: "north-jetty-engine-0001", CapacityTokens: 400_000, UsedTokens: 250_000, Running: 16, Waiting: 2,
+		PrefillTokensPerSecond: 21_500.5, DecodeStepMillis: 68.25, Role: "mixed", Fence: 12, AgeMillis: 480,
+		Models: []engine.Model{{Name: "model-large", Version: "2026-11-30", Adapters: []string{"adapter-one"}}},
+	})
+	require.NoError(b, err)
+	list := make([]engine.CacheEvent, events)
+	for i := range list {
+		list[i] = engine.CacheEvent{
+			Seq: uint64(1_000_000 + i), Kind: "stored", Organisation: "0123456789abcdef", Prefix: "fedcba9876543210", Tokens: 1024,
+		}
+	}
+	cache, err := json.Marshal(map[string]any{"events": list, "next": 1_000_000 + events})
+	require.NoError(b, err)
+	e.group.Go("accept", func(context.Context) error { return e.accept(prepared(load), prepared(cache)) })
+	b.Cleanup(func() {
+		_ = listener.Close()
+		e.group.Stop()
+		require.NoError(b, e.group.Wait())
+	})
+	return e
+}
+
+// prepared returns a response with the headers that net/http servers send.
+func prepared(body []byte) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"+
+		"Date: Fri, 04 Dec 2026 06:49:00 GMT\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func (e *stubEngine) accept(load, cache []byte) error {
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return nil //nolint:nilerr // the listener was closed at the end of the benchmark
+		}
+		e.group.Go("connection", func(ctx context.Context) error {
+			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+			defer stop()
+			e.answer(conn, load, cache)
+			return nil
+		})
+	}
+}
+
+func (e *stubEngine) answer(conn net.Conn, load, cache []byte) {
+	in := bufio.NewReader(conn)
+	response := load
+	for first := true; ; {
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		e.bytes.Add(int64(len(line)))
+		if first && len(line) > 9 && string(line[5:9]) == "v1/c" {
+			response = cache
+		}
+		if first = len(line) == 2; !first {
+			continue
+		}
+		if _, err := conn.Write(response); err != nil {
+			return
+		}
+		e.bytes.Add(int64(len(response)))
+		response = load
+	}
+}
+
+// BenchmarkPoller measures one load report and the share of a read of cache
+// events that belongs to it, for all engines of a cell. The stand-in for the
+// engines runs in this process.
+func BenchmarkPoller(b *testing.B) {
+	for _, engines := range []int{8, 16, 32, 64} {
+		for _, events := range []int{0, 16} {
+			b.Run(fmt.Sprintf("engines=%d/events=%d", engines, events), func(b *testing.B) { benchPoller(b, engines, events) })
+		}
+	}
+}
+
+// benchPoller polls all engines of a cell once per operation.
+func benchPoller(b *testing.B, engines, events int) {
+	scheduler := sched.New(sched.Options{Cell: "c", RebuildWindow: -1, Log: quietLog(), Rand: rand.New(rand.NewPCG(1, 1))})
+	client := engine.NewClient(dialer.Transport(dialer.TCP))
+	stub := newStubEngine(b, events)
+	infos := make([]sched.EngineInfo, engines)
+	pollers := make([]*poller, engines)
+	for i := range infos {
+		host := plat.Host{Name: fmt.Sprint("e", i), Address: stub.listener.Addr().String()}
+		infos[i] = sched.EngineInfo{Name: host.Name, Address: host.Address}
+		pollers[i] = &poller{engine: host, scheduler: scheduler, client: client, log: quietLog()}
+	}
+	scheduler.SetEngines(infos)
+	eventsEach := int(eventInterval / loadInterval)
+	round := 0
+	poll := func() {
+		for i, p := range pollers {
+			p.load(b.Context())
+			if (round+i)%eventsEach == 0 {
+				p.events(b.Context())
+			}
+			if p.failures > 0 {
+				b.Fatal("a load report failed")
+			}
+		}
+		round++
+	}
+	poll()
+	user, system := cpuTime(b)
+	bytes := stub.bytes.Load()
+	for b.Loop() {
+		poll()
+	}
+	userEnd, systemEnd := cpuTime(b)
+	// Each operation is a load interval of all engines.
+	perSecond := float64(time.Second) / float64(loadInterval) / float64(b.N*engines)
+	b.ReportMetric(float64(userEnd-user)*perSecond, "user-ns/engine-s")
+	b.ReportMetric(float64(systemEnd-system)*perSecond, "sys-ns/engine-s")
+	b.ReportMetric(float64(stub.bytes.Load()-bytes)*perSecond, "B/engine-s")
+}
+
+// BenchmarkDump measures the encoding of the parts of the state dump that grow
+// with the requests in flight: the requests of this node and the grants of one
+// cell.
+func BenchmarkDump(b *testing.B) {
+	for _, requests := range []int{100, 300, 1000, 3000} {
+		b.Run(fmt.Sprintf("requests=%d", requests), func(b *testing.B) {
+			scheduler := sched.New(sched.Options{
+				Cell: "drafting/north-jetty/0", Owner: "entry-0001", RebuildWindow: -1, Log: quietLog(),
+				Rand: rand.New(rand.NewPCG(1, 1)),
+			})
+			infos := make([]sched.EngineInfo, 64)
+			for i := range infos {
+				infos[i] = sched.EngineInfo{Name: fmt.Sprintf("engine-%04d", i), Address: fmt.Sprint("10.0.0.", i, ":80")}
+			}
+			scheduler.SetEngines(infos)
+			for _, i := range infos {
+				scheduler.Report(i.Name, i.Address, engine.LoadReport{CapacityTokens: 1 << 20, PrefillTokensPerSecond: 1e6})
+			}
+			views := make([]entry.RequestView, requests)
+			for i := range views {
+				views[i] = entry.RequestView{
+					ID: fmt.Sprintf("entry-0001-18c5d3a7f0-%x", i), Service: "drafting", Organisation: fmt.Sprintf("organisation-%05d", i),
+					Model: "model-large", Phase: "running", Engine: infos[i%64].Name, PromptTokens: 2000,
+					Fingerprint: fmt.Sprintf("%032x", i), Age: time.Duration(i) * time.Millisecond, Remaining: time.Minute,
+				}
+				_, err := scheduler.Acquire(b.Context(), sched.Request{
+					ID: views[i].ID, Attempt: 1, Cell: "drafting/north-jetty/0", Entry: "entry-0001",
+					Organisation: views[i].Organisation, Weight: 1, Model: views[i].Model,
+					PromptTokens: 2000, MaxTokens: 256, Fingerprint: views[i].Fingerprint, Remaining: time.Hour,
+				})
+				require.NoError(b, err)
+			}
+			user, _ := cpuTime(b)
+			size := 0
+			for b.Loop() {
+				data, err := json.Marshal(map[string]any{"requests": views, "sched": []sched.Snapshot{scheduler.Snapshot()}})
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			userEnd, _ := cpuTime(b)
+			b.ReportMetric(float64(userEnd-user)/float64(b.N), "user-ns/op")
+			b.ReportMetric(float64(size), "dump-B")
+		})
+	}
+}
--- /dev/null
+++ b/internal/wire/bench_test.go
@@ -0,0 +1,142 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/internal/certs"
+	"github.com/verbenapier/verbenapier/internal/dialer"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// countedConn counts the bytes on the socket, after encryption.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// loopback is a server that answers "echo" over mutual TLS on a loopback
+// socket, and a dialer to it.
+type loopback struct {
+	address string
+	dial    dialer.Func
+	group   *group.Group
+	// bytes counts both directions of the dialer's connections.
+	bytes atomic.Int64
+}
+
+func newLoopback(b *testing.B) *loopback {
+	authority, err := certs.Authority("authority", 2*time.Hour)
+	require.NoError(b, err)
+	node, err := certs.Node(authority, "node", []net.IP{net.IPv4(127, 0, 0, 1)}, time.Hour)
+	require.NoError(b, err)
+	pair, err := tls.X509KeyPair(node.Certificate, node.Key)
+	require.NoError(b, err)
+	pool := x509.NewCertPool()
+	require.True(b, pool.AppendCertsFromPEM(authority.Certificate))
+	config := &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair},
+		RootCAs: pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, ServerName: "node",
+	}
+	mux := NewMux()
+	mux.Handle("echo", Typed(func(_ context.Context, _ string, p echoParams) (echoParams, error) { return p, nil }))
+	listener, err := (&net.ListenConfig{}).Listen(b.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	l := &loopback{address: listener.Addr().String(), group: group.New(b.Context())}
+	l.dial = dialer.Secure(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dialer.TCP(ctx, address)
+		return countedConn{conn, &l.bytes}, err
+	}, config)
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	server := NewServer(l.group, mux, config, log)
+	l.group.Go("serve", func(ctx context.Context) error { return server.Serve(ctx, listener) })
+	b.Cleanup(func() {
+		l.group.Stop()
+		require.NoError(b, l.group.Wait())
+	})
+	return l
+}
+
+// cpuTime returns the processor time that the process has used in user and in
+// system mode.
+func cpuTime(b *testing.B) (user, system time.Duration) {
+	var r syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &r))
+	return time.Duration(r.Utime.Nano()), time.Duration(r.Stime.Nano())
+}
+
+// measure runs the loop and reports processor time and bytes on the socket per
+// operation.
+func (l *loopback) measure(b *testing.B, op func()) {
+	user, system := cpuTime(b)
+	bytes := l.bytes.Load()
+	for b.Loop() {
+		op()
+	}
+	userEnd, systemEnd := cpuTime(b)
+	b.ReportMetric(float64(userEnd-user)/float64(b.N), "user-ns/op")
+	b.ReportMetric(float64(systemEnd-system)/float64(b.N), "sys-ns/op")
+	b.ReportMetric(float64(l.bytes.Load()-bytes)/float64(b.N), "socket-B/op")
+}
+
+// BenchmarkCall measures one call over mutual TLS by the size of its parameters,
+// which the answer repeats. Both ends run in this process.
+func BenchmarkCall(b *testing.B) {
+	for _, size := range []int{64, 256, 1 << 10, 4 << 10, 16 << 10, 64 << 10} {
+		b.Run(fmt.Sprintf("bytes=%d", size), func(b *testing.B) {
+			l := newLoopback(b)
+			client := NewClient(l.group, l.dial)
+			params := echoParams{Text: strings.Repeat("x", size)}
+			call := func() {
+				ctx, cancel := context.WithTimeout(b.Context(), time.Minute)
+				defer cancel()
+				var result echoParams
+				if err := client.Call(ctx, l.address, "echo", params, &result); err != nil {
+					b.Fatal(err)
+				}
+			}
+			call()
+			l.measure(b, call)
+		})
+	}
+}
+
+// BenchmarkConnect measures a new connection with its mutual TLS handshake and
+// one small call, as after the loss of a peer. Both ends run in this process.
+func BenchmarkConnect(b *testing.B) {
+	l := newLoopback(b)
+	client := NewClient(l.group, l.dial)
+	l.measure(b, func() {
+		ctx, cancel := context.WithTimeout(b.Context(), time.Minute)
+		defer cancel()
+		var result echoParams
+		if err := client.Call(ctx, l.address, "echo", echoParams{}, &result); err != nil {
+			b.Fatal(err)
+		}
+		client.Forget(l.address)
+	})
+}
