entry: renew the grants of all cells at once

Cause: renewals were sent cell by cell, each with a timeout of 2 s. A node of the design size holds grants in about 40 cells. When a failure domain goes silent, the owners of about six of its cells do not answer before membership declares them dead, and the healthy cells wait behind them.

Conclusion: silent owners no longer cost the grants of other cells.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -429,7 +429,7 @@
 			failures := &failureHook{}
 			log.SetOutput(io.Discard)
 			log.AddHook(failures)
-			renew := func() { l.renew(b.Context(), c, log) }
+			renew := func() { require.NoError(b, l.renew(b.Context(), c, log)) }
 			renew()
 			start := bytes.Load()
 			measureCPU(b, renew)
--- a/internal/entry/ledger.go
+++ b/internal/entry/ledger.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/verbenapier/verbenapier/internal/sched"
+	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
 const (
@@ -76,21 +77,30 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			l.renew(ctx, cells, log)
+			if err := l.renew(ctx, cells, log); err != nil {
+				return err
+			}
 		}
 	}
 }
 
-// renew extends the grants cell by cell. A failed renewal is tried again at
-// the next interval: grants are soft state, and the streams go on without.
-func (l *ledger) renew(ctx context.Context, cells Cells, log logrus.FieldLogger) {
+// renew extends the grants of all cells at once, so that cells whose owners do
+// not answer do not delay the others past the lifetime of their grants. A
+// failed renewal is tried again at the next interval: grants are soft state,
+// and the streams go on without.
+func (l *ledger) renew(ctx context.Context, cells Cells, log logrus.FieldLogger) error {
+	renewals := group.New(ctx)
 	for _, cell := range l.cells() {
-		r := sched.Renewal{Cell: cell, Entry: l.name, EntryIncarnation: l.incarnation, Held: l.held(cell)}
-		callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
-		if err := cells.Renew(callCtx, r); err != nil {
-			log.WithError(err).WithFields(logrus.Fields{"event": "renewal_failed", "cell": cell}).
-				Warn("grants could not be renewed")
-		}
-		cancel()
+		renewals.Go("renew", func(ctx context.Context) error {
+			r := sched.Renewal{Cell: cell, Entry: l.name, EntryIncarnation: l.incarnation, Held: l.held(cell)}
+			ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+			defer cancel()
+			if err := cells.Renew(ctx, r); err != nil {
+				log.WithError(err).WithFields(logrus.Fields{"event": "renewal_failed", "cell": cell}).
+					Warn("grants could not be renewed")
+			}
+			return nil
+		})
 	}
+	return renewals.Wait()
 }
--- /dev/null
+++ b/internal/entry/ledger_test.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/internal/sched"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// silentCells answers the renewals of one cell and lets those of the others
+// run into their timeout.
+type silentCells struct {
+	fixedCells
+	answering string
+
+	mu      sync.Mutex
+	renewed []time.Time
+}
+
+func (c *silentCells) Renew(ctx context.Context, r sched.Renewal) error {
+	if r.Cell != c.answering {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.renewed = append(c.renewed, time.Now())
+	return nil
+}
+
+// Guards against renewals that queue behind the owners lost with a failure
+// domain: with 12 silent cells the grants of a healthy cell must still be
+// renewed at every interval, not up to 24 s late.
+func TestSilentCellsDoNotDelayRenewals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		l := newLedger("node", 1)
+		c := &silentCells{answering: "healthy"}
+		l.add("healthy", sched.Held{ID: "g"})
+		for i := range 12 {
+			l.add(fmt.Sprint("silent", i), sched.Held{ID: fmt.Sprint("g", i)})
+		}
+		g := group.New(t.Context())
+		start := time.Now()
+		g.Go("ledger", func(ctx context.Context) error { return l.run(ctx, c, log) })
+		time.Sleep(6*renewInterval + time.Second)
+		g.Stop()
+		require.NoError(t, g.Wait())
+		require.Len(t, c.renewed, 6)
+		for i, at := range c.renewed {
+			require.Equal(t, time.Duration(i+1)*renewInterval, at.Sub(start))
+		}
+	})
+}
