--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"fmt"
 	"net"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -140,3 +141,41 @@
 		client.Forget(l.address)
 	})
 }
+
+// BenchmarkConnections measures the memory of open idle connections: heap and
+// stacks of both ends, without the buffers of the kernel.
+func BenchmarkConnections(b *testing.B) {
+	for _, peers := range []int{50, 100, 200, 400} {
+		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) {
+			l := newLoopback(b)
+			client := NewClient(l.group, func(ctx context.Context, _ string) (net.Conn, error) { return l.dial(ctx, l.address) })
+			var used int64
+			for b.Loop() {
+				before := memoryInUse()
+				for i := range peers {
+					ctx, cancel := context.WithTimeout(b.Context(), time.Minute)
+					var result echoParams
+					err := client.Call(ctx, fmt.Sprint("peer", i), "echo", echoParams{}, &result)
+					cancel()
+					if err != nil {
+						b.Fatal(err)
+					}
+				}
+				used += int64(memoryInUse()) - int64(before)
+				for i := range peers {
+					client.Forget(fmt.Sprint("peer", i))
+				}
+			}
+			b.ReportMetric(float64(used)/float64(b.N)/float64(peers), "B/connection")
+		})
+	}
+}
+
+// memoryInUse returns the bytes of live heap objects and of stacks.
+func memoryInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
