--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -19,8 +20,10 @@
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/entry"
+	"github.com/verbenapier/verbenapier/internal/member"
 	"github.com/verbenapier/verbenapier/internal/plat"
 	"github.com/verbenapier/verbenapier/internal/sched"
+	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
@@ -217,3 +220,86 @@
 		})
 	}
 }
+
+// fixedMembers is a membership that does not change.
+type fixedMembers struct {
+	list    []member.Member
+	changed chan struct{}
+}
+
+func (m fixedMembers) Members() []member.Member { return slices.Clone(m.list) }
+func (m fixedMembers) Self() member.Member      { return m.list[0] }
+func (m fixedMembers) Changed() <-chan struct{} { return m.changed }
+
+// hostList returns 380 entry hosts and the given number of engines in nine
+// failure domains of three regions, with two services.
+func hostList(engines int) []plat.Host {
+	var list []plat.Host
+	for i := range 380 + engines {
+		domain := i % 9
+		h := plat.Host{
+			Name: fmt.Sprintf("host-%04d", i), Address: fmt.Sprintf("10.%d.%d.%d:8443", domain, i/250, i%250),
+			FailureDomain: fmt.Sprint("failure-domain-", domain), Region: fmt.Sprint("region-", domain/3), State: plat.HostLive,
+		}
+		if i < 380 {
+			h.Role, h.PeerAddress = plat.RoleEntry, fmt.Sprintf("10.%d.%d.%d:8444", domain, i/250, i%250)
+		} else {
+			h.Role, h.Service = plat.RoleEngine, []string{"assistant", "drafting"}[i/9%2]
+		}
+		list = append(list, h)
+	}
+	return list
+}
+
+// BenchmarkRefresh measures what a node does each second to keep its cells and
+// their owners up to date when nothing has changed.
+func BenchmarkRefresh(b *testing.B) {
+	for _, engines := range []int{262, 525, 1050, 2100} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			list := hostList(engines)
+			members := fixedMembers{}
+			for _, h := range list[:380] {
+				members.list = append(members.list, member.Member{
+					Name: h.Name, PeerAddress: h.PeerAddress, FailureDomain: h.FailureDomain, Region: h.Region, State: member.Alive,
+				})
+			}
+			h := newHosts(nil, quietLog())
+			h.list = list
+			c := &cellSet{
+				name: "another", maxEngines: 64, hosts: h, members: members, log: quietLog(), owned: map[string]*ownedCell{},
+				document: func() (*confd.Document, uint64, error) { return &confd.Document{}, 1, nil },
+			}
+			c.refresh(b.Context())
+			b.ReportAllocs()
+			user, _ := cpuTime(b)
+			for b.Loop() {
+				c.refresh(b.Context())
+			}
+			userEnd, _ := cpuTime(b)
+			b.ReportMetric(float64(userEnd-user)/float64(b.N), "user-ns/op")
+		})
+	}
+}
+
+// BenchmarkHosts measures the decoding of the platform's host list and its
+// size.
+func BenchmarkHosts(b *testing.B) {
+	for _, engines := range []int{262, 525, 1050, 2100} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			data, err := json.Marshal(map[string]any{"hosts": hostList(engines)})
+			require.NoError(b, err)
+			user, _ := cpuTime(b)
+			for b.Loop() {
+				var list struct {
+					Hosts []plat.Host `json:"hosts"`
+				}
+				if err := json.Unmarshal(data, &list); err != nil {
+					b.Fatal(err)
+				}
+			}
+			userEnd, _ := cpuTime(b)
+			b.ReportMetric(float64(userEnd-user)/float64(b.N), "user-ns/op")
+			b.ReportMetric(float64(len(data)), "list-B")
+		})
+	}
+}
