daemon: group engines into cells only when the host list has changed

Cause: every node computed all cells anew each second. docs/CAPACITY.md counted one computation per 30 s.

What remains is the choice of the owners; it follows the number of cells.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -264,7 +264,7 @@
 				})
 			}
 			h := newHosts(nil, quietLog())
-			h.list = list
+			h.list, h.version = list, 1
 			c := &cellSet{
 				name: "another", maxEngines: 64, hosts: h, members: members, log: quietLog(), owned: map[string]*ownedCell{},
 				document: func() (*confd.Document, uint64, error) { return &confd.Document{}, 1, nil },
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -48,6 +48,10 @@
 	cells  map[string]cells.Cell
 	byName map[string][]cells.Cell
 	owned  map[string]*ownedCell
+
+	// grouped is the version of the host list that cells were computed from.
+	// Only refresh uses it.
+	grouped uint64
 }
 
 // membership is what the daemon needs of the membership table.
@@ -95,21 +99,35 @@
 	}
 }
 
-// refresh computes the cells, starts the schedulers of cells gained and stops
-// those of cells lost.
-func (c *cellSet) refresh(ctx context.Context) {
-	all := cells.Group(c.hosts.With(plat.RoleEngine, ""), c.maxEngines)
+// group computes the cells anew when the host list has changed since.
+func (c *cellSet) group() {
+	// The version is read first: a list that changes in between is grouped
+	// once more than needed, and never too rarely.
+	version := c.hosts.Version()
+	if version == c.grouped {
+		return
+	}
+	c.grouped = version
 	byName := map[string][]cells.Cell{}
 	index := map[string]cells.Cell{}
-	for _, cell := range all {
+	for _, cell := range cells.Group(c.hosts.With(plat.RoleEngine, ""), c.maxEngines) {
 		index[cell.Name] = cell
 		byName[cell.Service] = append(byName[cell.Service], cell)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cells, c.byName = index, byName
+}
+
+// refresh computes the cells, starts the schedulers of cells gained and stops
+// those of cells lost.
+func (c *cellSet) refresh(ctx context.Context) {
+	c.group()
 	members := c.members.Members()
 	doc, _, err := c.document()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cells, c.byName = index, byName
+	index := c.cells
 	for _, name := range slices.Sorted(maps.Keys(index)) {
 		owner, ok := cells.Owner(index[name], members)
 		if ok && owner.Name == c.name && err == nil {
--- /dev/null
+++ b/internal/daemon/cells_test.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/plat"
+	"github.com/verbenapier/verbenapier/pkg/confd"
+)
+
+// fixedLister returns a list of hosts that the test changes.
+type fixedLister struct{ list []plat.Host }
+
+func (l *fixedLister) Hosts(context.Context) ([]plat.Host, error) {
+	return append([]plat.Host{}, l.list...), nil
+}
+
+// Guards against cells that keep the engines of an earlier host list, or that
+// lose them when a list is read again without a change.
+func TestCellsFollowHostList(t *testing.T) {
+	engine := func(name string) plat.Host {
+		return plat.Host{Name: name, Role: plat.RoleEngine, Service: "drafting", FailureDomain: "d", Region: "r", State: plat.HostLive}
+	}
+	lister := &fixedLister{}
+	h := newHosts(lister, quietLog())
+	c := &cellSet{
+		name: "another", maxEngines: 64, hosts: h, log: quietLog(), owned: map[string]*ownedCell{},
+		members:  fixedMembers{list: []member.Member{{Name: "node", FailureDomain: "d", Region: "r", State: member.Alive}}},
+		document: func() (*confd.Document, uint64, error) { return &confd.Document{}, 1, nil },
+	}
+	leaving := engine("a")
+	leaving.State = plat.HostLeaving
+	for _, step := range [][]plat.Host{
+		{engine("a")},
+		{engine("a")},
+		{engine("a"), engine("b"), engine("c")},
+		{leaving, engine("b"), engine("c")},
+		{},
+		{engine("b")},
+	} {
+		lister.list = step
+		h.refresh(t.Context())
+		c.refresh(t.Context())
+		want := 0
+		for _, host := range step {
+			if host.State == plat.HostLive {
+				want++
+			}
+		}
+		got := 0
+		for _, cell := range c.all() {
+			got += len(cell.Engines)
+		}
+		require.Equal(t, want, got)
+		require.Equal(t, want > 0, len(c.Rank("drafting", "key")) > 0)
+	}
+}
--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -26,6 +26,7 @@
 
 	mu      sync.Mutex
 	list    []plat.Host
+	version uint64
 	read    time.Time
 	changed chan struct{}
 }
@@ -56,6 +57,9 @@
 	h.mu.Lock()
 	same := slices.Equal(h.list, list)
 	h.list, h.read = list, time.Now()
+	if !same {
+		h.version++
+	}
 	h.mu.Unlock()
 	if same {
 		return
@@ -73,6 +77,14 @@
 	return slices.Clone(h.list)
 }
 
+// Version returns a number that grows with each change of the list. It is 0
+// before the first list.
+func (h *hosts) Version() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.version
+}
+
 // Changed delivers a value after the list has changed.
 func (h *hosts) Changed() <-chan struct{} { return h.changed }
 
