--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -234,7 +234,7 @@
 // hostList returns 380 entry hosts and the given number of engines in nine
 // failure domains of three regions, with two services.
 func hostList(engines int) []plat.Host {
-	var list []plat.Host
+	list := make([]plat.Host, 0, 380+engines)
 	for i := range 380 + engines {
 		domain := i % 9
 		h := plat.Host{
