--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -176,6 +176,7 @@
 	s := benchServer(b, memoryEngine{bytes.Join(frameLines(b, tokens), nil)}, "engine:80")
 	body := benchBody(b, size, tokens)
 	b.ReportAllocs()
+	answer := 0
 	measureCPU(b, func() {
 		r := httptest.NewRequestWithContext(b.Context(), http.MethodPost, "/v1/completions", bytes.NewReader(body))
 		r.Header.Set("Authorization", "Bearer "+testKey)
@@ -184,7 +185,9 @@
 		if w.status != http.StatusOK {
 			b.Fatalf("status %d", w.status)
 		}
+		answer = w.bytes
 	})
+	b.ReportMetric(float64(answer), "answer-B")
 }
 
 // BenchmarkLoopback measures one streamed request over loopback sockets. The
