--- a/internal/limits/capacity_test.go
+++ b/internal/limits/capacity_test.go
@@ -31,3 +31,23 @@
 		require.Less(t, perRequest[3], 1+2/perNode, "one for each request and two a second")
 	}
 }
+
+// Guards against renewals of long requests that are more frequent than every
+// third of the life of slots. At this load hardly two requests share a lease.
+func TestCapacityLongRequests(t *testing.T) {
+	limits := Limits{RequestsPerSecond: 1e6, TokensPerSecond: 1e9, Concurrent: 1e6}
+	const perNode, lasts = 0.02, 15 * time.Second
+	for _, size := range []int{16, 32, 64, 128} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 1, size, realLimiter)
+			f.load(t, limits, perNode*float64(size), 200*time.Second, lasts, anyNode(size))
+			f.stop(t)
+			require.Equal(t, f.offered, f.admitted)
+			remote := float64(f.admitted) * float64(size-1) / float64(size)
+			perRequest := float64(f.calls) / remote
+			t.Logf("nodes %d, %d requests: messages per request through another node than the home %.3f", size, f.admitted, perRequest)
+			// One message admits, one may end the use of slots.
+			require.Less(t, perRequest, 2+float64(lasts)/float64(defaultSlotTime/3))
+		})
+	}
+}
