--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -44,6 +44,7 @@
 	list    []plat.Host
 	hash    uint64
 	size    int
+	version uint64
 	read    time.Time
 	changed chan struct{}
 }
@@ -157,6 +158,9 @@
 	h.mu.Lock()
 	same := hash == h.hash
 	h.list, h.hash, h.size, h.read = list, hash, len(data), read
+	if !same {
+		h.version++
+	}
 	h.mu.Unlock()
 	if same {
 		return
@@ -185,6 +189,14 @@
 	return slices.Clone(h.list)
 }
 
+// Version returns a number that grows with each change of the list. It is 0
+// before the first list.
+func (h *hosts) Version() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.version
+}
+
 // Changed delivers a value after the list has changed.
 func (h *hosts) Changed() <-chan struct{} { return h.changed }
 
--- a/internal/daemon/hosts_test.go
+++ b/internal/daemon/hosts_test.go
@@ -16,15 +16,13 @@
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
-// fixedMembers is a membership that tests change by hand.
-type fixedMembers struct {
-	self member.Member
-	all  *[]member.Member
+// sharedMembers is a membership that a test changes for all nodes at once.
+type sharedMembers struct {
+	fixedMembers
+	all *[]member.Member
 }
 
-func (f fixedMembers) Self() member.Member      { return f.self }
-func (f fixedMembers) Members() []member.Member { return *f.all }
-func (f fixedMembers) Changed() <-chan struct{} { return nil }
+func (s sharedMembers) Members() []member.Member { return *s.all }
 
 // Guards against every node reading the whole host list from the platform,
 // against a changed list that does not arrive, and against a domain without a
@@ -45,7 +43,7 @@
 			members = append(members, m)
 			mux := wire.NewMux()
 			endpoint := network.Attach(m.Name, m.PeerAddress, mux)
-			h := newHosts(store.Client(endpoint), endpoint, fixedMembers{m, &members}, log)
+			h := newHosts(store.Client(endpoint), endpoint, sharedMembers{fixedMembers{list: []member.Member{m}}, &members}, log)
 			h.register(mux)
 			lists = append(lists, h)
 		}
