system: judge the alarms in the randomised fault runs

The runs break no promise (the tests check that), so every alarm counts as false but claims_refused within 15 s of a fault of the platform.

--- a/emul/system/deploy_test.go
+++ b/emul/system/deploy_test.go
@@ -101,6 +101,8 @@
 	// toldNotRun counts the prompts answered as not run.
 	sent, toldNotRun map[string]int
 	crashes          int
+	platformBroken   bool
+	platformRepaired time.Time
 }
 
 type engineProcess struct {
--- a/emul/system/system_test.go
+++ b/emul/system/system_test.go
@@ -202,16 +202,36 @@
 		return d.net.heal
 	case 8:
 		modes := []string{`{"outage":"hang"}`, `{"outage":"unavailable"}`, `{"lose_share":0.5}`, `{"delay_ms":800}`}
-		require.NoError(d.t, d.platform.Apply([]byte(modes[random.IntN(len(modes))])))
-		return func() {
-			require.NoError(d.t, d.platform.Apply([]byte(`{"outage":"","lose_share":0,"delay_ms":0}`)))
-		}
+		d.breakPlatform(modes[random.IntN(len(modes))])
+		return d.repairPlatform
 	}
 	return func() {}
 }
 
+// breakPlatform and repairPlatform note when the platform was at fault.
+func (d *deployment) breakPlatform(faults string) {
+	d.mu.Lock()
+	d.platformBroken = true
+	d.mu.Unlock()
+	require.NoError(d.t, d.platform.Apply([]byte(faults)))
+}
+
+func (d *deployment) repairPlatform() {
+	require.NoError(d.t, d.platform.Apply([]byte(`{"outage":"","lose_share":0,"delay_ms":0}`)))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.platformBroken, d.platformRepaired = false, time.Now()
+}
+
+// platformFaultWithin reports whether the platform was at fault a while ago.
+func (d *deployment) platformFaultWithin(while time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.platformBroken || time.Since(d.platformRepaired) < while
+}
+
 // Guards against combinations of faults that break a promise although each of
-// them alone does not. A longer run is
+// them alone does not, and against alarms about promises that are kept. A longer run is
 // go test -run TestRandomFaults -system.seeds 50 -system.duration 5m.
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(*seeds) {
@@ -220,6 +240,8 @@
 				d := deploy(t)
 				defer d.close()
 				random := rand.New(rand.NewPCG(seed, 0))
+				l := &alarmLog{d: d}
+				alarms := l.start()
 				report := d.runWith(func(d *deployment) {
 					ctx, cancel := context.WithTimeout(context.Background(), *duration)
 					defer cancel()
@@ -227,6 +249,10 @@
 				})
 				d.check(report)
 				time.Sleep(settleTime)
+				alarms.Stop()
+				require.NoError(t, alarms.Wait())
+				t.Logf("asked %d times, alarms seen %v", l.asked, l.seen)
+				require.Empty(t, l.wrong, "alarms about promises that were kept")
 				require.Zero(t, d.heldTokens(), "memory that stays taken")
 			})
 		})
