admin: show what is known, and count the use of organisations

Cells and engines of other owners were listed with zero free and used tokens; they now show a dash and known: false. The models of engines come from their load reports. Admitted, refused and tokens of organisations were always zero and are now counted by the entry node. Routes of plain services are compiled once per revision instead of per call.

--- a/internal/admin/view.go
+++ b/internal/admin/view.go
@@ -83,20 +83,25 @@
 	FailureDomain string `json:"failure_domain"`
 	Owner         string `json:"owner"`
 	Engines       int    `json:"engines"`
-	// FreeTokens and the like are known on the owner only.
-	FreeTokens   int `json:"free_tokens"`
-	QueuedTokens int `json:"queued_tokens"`
-	Running      int `json:"running"`
-	Waiting      int `json:"waiting"`
+	// Known says that this node schedules the cell. Only then are the
+	// following fields known.
+	Known        bool `json:"known"`
+	FreeTokens   int  `json:"free_tokens"`
+	QueuedTokens int  `json:"queued_tokens"`
+	Running      int  `json:"running"`
+	Waiting      int  `json:"waiting"`
 }
 
 // Engine is an engine or another upstream.
 type Engine struct {
-	Name           string   `json:"name"`
-	Service        string   `json:"service"`
-	Cell           string   `json:"cell,omitempty"`
-	Address        string   `json:"address"`
-	State          string   `json:"state"`
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Cell    string `json:"cell,omitempty"`
+	Address string `json:"address"`
+	State   string `json:"state"`
+	// Known says that this node schedules the engine's cell. Only then are the
+	// following fields known.
+	Known          bool     `json:"known"`
 	Models         []string `json:"models,omitempty"`
 	CapacityTokens int      `json:"capacity_tokens"`
 	UsedTokens     int      `json:"used_tokens"`
--- a/internal/cmdset/state.go
+++ b/internal/cmdset/state.go
@@ -19,16 +19,29 @@
 
 func cellList(s *session) error {
 	return list(s, "cells", "NAME SERVICE DOMAIN OWNER ENGINES FREE QUEUED RUNNING WAITING", func(c admin.Cell) []any {
-		return []any{c.Name, c.Service, c.FailureDomain, c.Owner, c.Engines, c.FreeTokens, c.QueuedTokens, c.Running, c.Waiting}
+		row := []any{c.Name, c.Service, c.FailureDomain, c.Owner, c.Engines}
+		return append(row, known(c.Known, c.FreeTokens, c.QueuedTokens, c.Running, c.Waiting)...)
 	})
 }
 
 func engineList(s *session) error {
 	return list(s, "engines", "NAME SERVICE CELL STATE MODELS USED CAPACITY RUNNING REPORT", func(e admin.Engine) []any {
-		return []any{e.Name, e.Service, e.Cell, e.State, strings.Join(e.Models, ","), e.UsedTokens, e.CapacityTokens, e.Running, short(e.ReportAge)}
+		row := []any{e.Name, e.Service, e.Cell, e.State}
+		return append(row, known(e.Known, strings.Join(e.Models, ","), e.UsedTokens, e.CapacityTokens, e.Running, short(e.ReportAge))...)
 	})
 }
 
+// known returns the values, or a dash for each when the node that was asked does
+// not know them.
+func known(yes bool, values ...any) []any {
+	if !yes {
+		for i := range values {
+			values[i] = "-"
+		}
+	}
+	return values
+}
+
 func organisationList(s *session) error {
 	return list(s, "organisations", "NAME WEIGHT RUNNING WAITING ADMITTED REFUSED TOKENS", func(o admin.Organisation) []any {
 		return []any{o.Name, o.Weight, o.Running, o.Waiting, o.Admitted, o.Refused, o.Tokens}
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -381,3 +381,19 @@
 	}
 	return list
 }
+
+// models returns the models in the last report of an engine, as name@version.
+func (c *cellSet) models(cell, engine string) []string {
+	c.mu.Lock()
+	o := c.owned[cell]
+	c.mu.Unlock()
+	if o == nil {
+		return nil
+	}
+	report, _, _ := o.reports.last(engine)
+	names := make([]string, 0, len(report.Models))
+	for _, m := range report.Models {
+		names = append(names, m.Name+"@"+m.Version)
+	}
+	return names
+}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -120,6 +120,7 @@
 			view.Owner = owner.Name
 		}
 		if snap, ok := snapshots[cell.Name]; ok {
+			view.Known = true
 			view.FreeTokens, view.QueuedTokens = snap.Digest.FreeTokens, snap.Digest.QueuedTokens
 			view.Running = len(snap.Grants)
 			for _, q := range snap.Queue {
@@ -155,6 +156,7 @@
 			Name: h.Name, Service: h.Service, Cell: cellOf[h.Name], Address: h.Address, State: string(h.State),
 		}
 		if b, ok := books[h.Name]; ok {
+			view.Known, view.Models = true, s.cells.models(view.Cell, h.Name)
 			view.CapacityTokens, view.UsedTokens = b.Capacity, b.Held+b.Foreign
 			view.GrantedTokens, view.Running = b.Reserved, b.Grants
 			view.ReportAge = admin.Duration(b.ReportAge)
@@ -170,7 +172,10 @@
 	views := map[string]*admin.Organisation{}
 	if doc, _, err := s.document(); err == nil {
 		for name, org := range doc.Organisations {
-			views[name] = &admin.Organisation{Name: name, Weight: org.Weight}
+			u := s.entry.Use(name)
+			views[name] = &admin.Organisation{
+				Name: name, Weight: org.Weight, Admitted: u.Admitted, Refused: u.Refused, Tokens: u.Tokens,
+			}
 		}
 	}
 	for _, r := range s.entry.Requests() {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -228,6 +228,7 @@
 
 // observe records the end of the request in metrics and logs.
 func (c *call) observe(err error) {
+	c.server.uses.note(c.organisation, err, c.used.TotalTokens)
 	scope := c.server.options.Metrics.Tagged(map[string]string{"service": c.service})
 	scope.Counter("requests").Inc(1)
 	fields := logrus.Fields{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -186,6 +186,8 @@
 	sequence atomic.Uint64
 	late     atomic.Uint64
 	digests  digests
+	uses     uses
+	routes   routeIndex
 
 	mu    sync.Mutex
 	calls map[string]*call
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -85,6 +85,7 @@
 	defer cancel()
 	done, err := s.options.Admission.Admit(ctx, who.organisation, who.rules, 0)
 	if err != nil {
+		s.uses.note(who.organisation, err, 0)
 		s.fail(w, r, err)
 		return
 	}
@@ -95,6 +96,7 @@
 	} else {
 		err = p.runOnce(ctx, w)
 	}
+	s.uses.note(who.organisation, err, 0)
 	if err != nil {
 		s.fail(w, r, err)
 	}
@@ -111,31 +113,13 @@
 	}
 	p.rules = rules
 	p.path = strings.TrimPrefix(p.request.URL.EscapedPath(), "/services/"+url.PathEscape(p.service))
-	route, ok := matchRoute(rules.Routes, p.request.Method, p.path)
+	route, ok := p.server.routes.match(p.who, p.service, p.request.Method, p.path)
 	if !ok {
 		return confd.Route{}, fault.New(fault.NotFound, "service %q has no route for %s %s", p.service, p.request.Method, p.path)
 	}
 	return route, nil
 }
 
-// matchRoute returns the route that net/http.ServeMux picks for a call.
-func matchRoute(routes []confd.Route, method, path string) (confd.Route, bool) {
-	mux := http.NewServeMux()
-	byPattern := make(map[string]confd.Route, len(routes))
-	for _, r := range routes {
-		pattern := r.Method + " " + r.Path
-		byPattern[pattern] = r
-		mux.Handle(pattern, http.NotFoundHandler())
-	}
-	target, err := url.Parse(path)
-	if err != nil {
-		return confd.Route{}, false
-	}
-	_, pattern := mux.Handler(&http.Request{Method: method, URL: target, Host: ""})
-	route, ok := byPattern[pattern]
-	return route, ok && (route.Method == method || route.Method == "" || method == http.MethodHead)
-}
-
 // runIdempotent tries the upstreams in turn, within the retry budgets.
 func (p *plainCall) runIdempotent(ctx context.Context, w http.ResponseWriter) error {
 	var last error
