--- a/internal/daemon/alarms.go
+++ b/internal/daemon/alarms.go
@@ -14,6 +14,7 @@
 		ClaimsRefused: d.claimsRefused.Load,
 		Memory:        d.engineMemory,
 		Config:        func() (inForce, newest uint64) { return d.config.Revision(), d.config.Newest() },
+		Leaving:       d.leavingHost,
 		Drain:         d.drainLeft,
 	}))
 }
@@ -44,3 +45,12 @@
 	}
 	return d.settings.DrainTimeout - time.Since(*started), longest, true
 }
+
+// leavingHost returns this host once it leaves, with the last request it took.
+func (d *Daemon) leavingHost() []alarm.LeavingHost {
+	started := d.drainStarted.Load()
+	if started == nil {
+		return nil
+	}
+	return []alarm.LeavingHost{{Host: d.settings.Name, Since: *started, LastWork: d.entry.LastAdmitted()}}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -185,6 +185,7 @@
 	leaving  atomic.Bool
 	sequence atomic.Uint64
 	late     atomic.Uint64
+	admitted atomic.Int64
 	digests  digests
 	uses     uses
 	routes   routeIndex
@@ -233,6 +234,14 @@
 // Leaving reports whether Leave was called.
 func (s *Server) Leaving() bool { return s.leaving.Load() }
 
+// LastAdmitted returns when this node last took a request, or the zero time.
+func (s *Server) LastAdmitted() time.Time {
+	if at := s.admitted.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 { return s.inflight.Load() }
 
@@ -261,6 +270,7 @@
 			s.fail(w, r, err)
 			return
 		}
+		s.admitted.Store(time.Now().UnixNano())
 		next(w, r, who)
 	}
 }
