--- a/internal/sched/compare_test.go
+++ b/internal/sched/compare_test.go
@@ -19,6 +19,7 @@
 	seedFlag  = flag.Uint64("seed", 1, "seed of the comparison workload")
 	tableFlag = flag.Bool("table", false, "print the comparison tables")
 	longFlag  = flag.Bool("long", false, "print only what long prompts wait for, for the weighted policy on the first deployment")
+	shareFlag = flag.Bool("shares", false, "print only the shares of the organisations over windows of 10 and 40 minutes")
 	quickFlag = flag.Bool("quick", false, "print only the rows for the first deployment")
 )
 
@@ -43,6 +44,10 @@
 // invariant, loses a request or keeps books after the last one. With -table
 // it prints the comparison of docs/scheduling.md.
 func TestCompare(t *testing.T) {
+	if *shareFlag {
+		printShares(t)
+		return
+	}
 	if *longFlag {
 		printLong(t)
 		return
@@ -121,6 +126,30 @@
 	t.Log(b.String())
 }
 
+// printShares prints how far the work of the organisations is from their fair
+// shares, by the work granted and by the work done, for two lengths of the
+// window. A deviation that comes from the ends of the window falls with its
+// length.
+func printShares(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("\n| load | seed | minutes | deviation by work granted | by work done | done over fair share, by organisation |\n|---|---|---|---|---|---|\n")
+	for _, load := range []float64{1.5, 3} {
+		for _, minutes := range []int{10, 40} {
+			cfg := simConfig{
+				policy: PolicyWeighted, cells: deployments[0].cells, weights: deployments[0].weights, load: load,
+				seed: *seedFlag, duration: time.Duration(minutes) * time.Minute, delay: time.Second,
+			}
+			r := runSim(t, cfg)
+			fmt.Fprintf(&b, "| %.1f | %d | %d | %.2f | %.2f |", load, cfg.seed, minutes, deviation(r.served, r.demanded), deviation(r.done, r.demanded))
+			for i, fair := range fairShares(r.done, r.demanded) {
+				fmt.Fprintf(&b, " %.2f", r.done[i]/fair)
+			}
+			b.WriteString(" |\n")
+		}
+	}
+	t.Log(b.String())
+}
+
 func quantile(v []float64, q int) float64 {
 	if len(v) == 0 {
 		return 0
@@ -158,7 +187,7 @@
 	slices.Sort(kinds)
 	fmt.Fprintf(b, " %.0f | %.0f | %d | %d | %.1f | %s | %.2f | %.0f/%.0f, %.0f |\n",
 		seconds(r.gaps, 95)*1000, r.goodput/1000, r.finished, r.late, 100*float64(refused)/float64(max(1, r.offered)),
-		strings.Join(kinds, ", "), shareDeviation(r), 100*mean(r.memory), 100*mean(r.booked), 100*slices.Max(r.booked))
+		strings.Join(kinds, ", "), deviation(r.served, r.demanded), 100*mean(r.memory), 100*mean(r.booked), 100*slices.Max(r.booked))
 }
 
 func mean(v []float64) float64 {
@@ -169,23 +198,19 @@
 	return sum / float64(max(1, len(v)))
 }
 
-// shareDeviation is the largest relative difference between the work an
-// organisation received and its max-min fair share of all work done.
-func shareDeviation(r *simResult) float64 {
-	total := 0.0
-	for _, v := range r.served {
-		total += v
-	}
-	fair := make([]float64, simOrgs)
-	left, open := total, map[int]bool{}
-	for i := range simOrgs {
+// fairShares divides the work done by max-min fairness between organisations
+// that demanded the given work.
+func fairShares(served, demanded [simOrgs]float64) (fair [simOrgs]float64) {
+	left, open := 0.0, map[int]bool{}
+	for i, v := range served {
+		left += v
 		open[i] = true
 	}
 	for len(open) > 0 {
 		level, capped := left/float64(len(open)), false
 		for i := range simOrgs {
-			if open[i] && r.demanded[i] <= level {
-				fair[i] = r.demanded[i]
+			if open[i] && demanded[i] <= level {
+				fair[i] = demanded[i]
 				left -= fair[i]
 				delete(open, i)
 				capped = true
@@ -198,10 +223,16 @@
 			break
 		}
 	}
+	return fair
+}
+
+// deviation is the largest relative difference between the work an
+// organisation received and its max-min fair share of all work done.
+func deviation(served, demanded [simOrgs]float64) float64 {
 	worst := 0.0
-	for i := range fair {
-		if fair[i] > 0 {
-			worst = max(worst, max(r.served[i]/fair[i], fair[i]/max(1, r.served[i]))-1)
+	for i, fair := range fairShares(served, demanded) {
+		if fair > 0 {
+			worst = max(worst, max(served[i]/fair, fair/max(1, served[i]))-1)
 		}
 	}
 	return worst
--- a/internal/sched/model_test.go
+++ b/internal/sched/model_test.go
@@ -161,6 +161,7 @@
 		budget -= float64(n) * perToken
 		seconds += float64(n) * perToken
 		e.prefilled += float64(n)
+		e.sim.observeWork(st.call, prefillWork(st.done-n, st.done))
 		finished[st] = st.done >= st.call.req.PromptTokens
 	}
 	if budget < modelChunk {
@@ -179,6 +180,7 @@
 			continue
 		}
 		st.generated++
+		e.sim.observeWork(st.call, decodeTokenWork)
 		if st.first.IsZero() {
 			st.first = now
 			e.store(st.call)
@@ -426,8 +428,11 @@
 	goodput  float64
 	served   [simOrgs]float64
 	demanded [simOrgs]float64
-	memory   []float64
-	booked   []float64
+	// done is the work that the engines did in the window, served that of the
+	// requests granted in it.
+	done   [simOrgs]float64
+	memory []float64
+	booked []float64
 	// held is the memory kept for gatherings, waiting the part of it and of
 	// the booked memory whose prefill has not begun.
 	held, waiting []float64
@@ -518,6 +523,12 @@
 	}
 }
 
+func (sim *simulation) observeWork(c *simCall, work float64) {
+	if sim.inWindow() {
+		sim.result.done[orgOf(c)] += work
+	}
+}
+
 func (sim *simulation) observeGap(d time.Duration) { _ = sim.result.gaps.RecordValue(d.Microseconds()) }
 
 func (sim *simulation) finish(st *modelStream) {
