Bound the engine search by the least sum of wait and penalty

The bound of a subtree added its least wait to its least penalty. These may belong to different engines, so subtrees without a better engine were searched and the steps grew faster than the logarithm of the cell's size. The index now also keeps the least sum of both.

TestSearchSteps fails with the old bound at 32 engines.

--- a/internal/sched/index.go
+++ b/internal/sched/index.go
@@ -14,15 +14,17 @@
 
 // bounds are the best values of a subtree.
 type bounds struct {
-	busy      [classCount]float64
-	penalty   float64
+	busy    [classCount]float64
+	penalty float64
+	// delayed is the least sum of busy and penalty of one engine.
+	delayed   [classCount]float64
 	rate      float64
 	room      [classCount]int
 	freeTotal int
 }
 
 var closedBounds = bounds{
-	busy: [classCount]float64{math.Inf(1), math.Inf(1), math.Inf(1)}, penalty: math.Inf(1), room: [classCount]int{-1, -1, -1},
+	busy: [classCount]float64{math.Inf(1), math.Inf(1), math.Inf(1)}, penalty: math.Inf(1), delayed: [classCount]float64{math.Inf(1), math.Inf(1), math.Inf(1)}, room: [classCount]int{-1, -1, -1},
 }
 
 // rebuild indexes the engines anew in O(n).
@@ -51,6 +53,7 @@
 	b := bounds{busy: e.busy, penalty: e.penalty(), rate: e.rate, freeTotal: max(0, e.free())}
 	for c := range classCount {
 		b.room[c] = e.room(c, x.share)
+		b.delayed[c] = b.busy[c] + b.penalty
 	}
 	return b
 }
@@ -62,6 +65,7 @@
 	for c := range m.busy {
 		m.room[c] = max(a.room[c], b.room[c])
 		m.busy[c] = min(a.busy[c], b.busy[c])
+		m.delayed[c] = min(a.delayed[c], b.delayed[c])
 	}
 	return m
 }
@@ -143,7 +147,8 @@
 	if n.room[q.pool] < q.need || wait > q.window {
 		return math.Inf(1)
 	}
-	bound := wait + n.penalty + q.work/n.rate
+	// The least wait and the least penalty may belong to different engines.
+	bound := max(wait+n.penalty, n.delayed[q.class]-q.now) + q.work/n.rate
 	if q.class == classShort && n.busy[classLong]-q.now > longPenalty {
 		bound += q.blocking
 	}
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -677,3 +677,39 @@
 		require.NoError(t, second.Wait())
 	})
 }
+
+// Guards against a search whose steps grow faster than the logarithm of the
+// cell's size, on which the size of cells depends.
+func TestSearchSteps(t *testing.T) {
+	for _, engines := range []int{8, 32, 128} {
+		synctest.Test(t, func(t *testing.T) {
+			names, capacities := make([]string, 0, engines), map[string]int{}
+			for i := range engines {
+				names = append(names, fmt.Sprint("e", i))
+				capacities[names[i]] = 400_000
+			}
+			s := fleetScheduler(t, newFakeFleet(t, capacities), names, nil)
+			for _, n := range names {
+				s.Report(n, n, engine.LoadReport{CapacityTokens: 400_000, PrefillTokensPerSecond: 1e6})
+			}
+			for i := range engines {
+				_, err := s.Acquire(t.Context(), ask(fmt.Sprint("fill", i), 250_000, time.Hour))
+				require.NoError(t, err)
+			}
+			rnd := rand.New(rand.NewPCG(2, 2))
+			const decisions = 1000
+			var running []string
+			s.steps = 0
+			for i := range decisions {
+				g, err := s.Acquire(t.Context(), ask(fmt.Sprint(i), 200+rnd.IntN(2000), time.Hour))
+				require.NoError(t, err)
+				if running = append(running, g.ID); len(running) > 10*engines {
+					s.Release(Release{ID: running[0], PromptTokens: 1000})
+					running = running[1:]
+				}
+				time.Sleep(20 * time.Microsecond)
+			}
+			require.Less(t, float64(s.steps)/decisions, 2*math.Log2(float64(engines))+2, "%d engines", engines)
+		})
+	}
+}
