--- a/emul/system/deploy_test.go
+++ b/emul/system/deploy_test.go
@@ -103,6 +103,9 @@
 	crashes          int
 	platformBroken   bool
 	platformRepaired time.Time
+	// unsettled holds for each node when it was last at fault, or a time in the
+	// future while it is.
+	unsettled map[string]time.Time
 }
 
 type engineProcess struct {
@@ -156,6 +159,7 @@
 		log: log, nodeLog: nodeLog, authority: authority,
 		engines: map[string]*engineProcess{}, nodes: map[string]*nodeProcess{},
 		ran: map[string][]string{}, sent: map[string]int{}, toldNotRun: map[string]int{},
+		unsettled: map[string]time.Time{},
 	}
 	d.startPlatform()
 	for i := range d.plan.engines {
@@ -347,16 +351,47 @@
 	require.NoError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &nodeProcess{stop: cancel, ended: make(chan error, 1)}
+	d.mu.Lock()
 	d.nodes[name] = n
+	d.mu.Unlock()
+	d.settle(i)
 	d.group.Go(name, func(context.Context) error {
 		n.ended <- process.Run(ctx)
 		return nil
 	})
 }
 
+// process returns the present process of a node.
+func (d *deployment) process(i int) *nodeProcess {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.nodes[nodeName(i)]
+}
+
+// unsettle and settle note the begin and the end of a fault of a node.
+func (d *deployment) unsettle(i int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unsettled[nodeName(i)] = time.Now().Add(24 * time.Hour)
+}
+
+func (d *deployment) settle(i int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unsettled[nodeName(i)] = time.Now()
+}
+
+// settledFor reports whether a node was free of faults for a while.
+func (d *deployment) settledFor(i int, while time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.unsettled[nodeName(i)]) >= while
+}
+
 // killNode ends a daemon's process without warning. The old process is cut off
 // from everything and then told to stop, since it cannot be made to vanish.
 func (d *deployment) killNode(i int) {
+	d.unsettle(i)
 	d.net.kill(nodeName(i))
 	d.nodes[nodeName(i)].stop()
 	d.nodes[nodeName(i)].awaitEnd(d.t)
@@ -364,6 +399,7 @@
 
 // leaveNode stops a daemon gracefully and waits for its end.
 func (d *deployment) leaveNode(i int) {
+	d.unsettle(i)
 	d.nodes[nodeName(i)].stop()
 	d.nodes[nodeName(i)].awaitEnd(d.t)
 }
--- a/emul/system/system_test.go
+++ b/emul/system/system_test.go
@@ -192,8 +192,12 @@
 	case 4:
 		d.net.silence(engineName(engine))
 	case 5:
+		d.unsettle(node)
 		d.net.freeze(nodeName(node))
-		return func() { d.net.thaw(nodeName(node)) }
+		return func() {
+			d.net.thaw(nodeName(node))
+			d.settle(node)
+		}
 	case 6:
 		d.net.cut(nodeName(node), nodeName((node+1)%nodeCount))
 		return d.net.heal
