entry: bound the rest of a request body that net/http reads

After an answer that comes before the end of the body, net/http reads the rest of the body before it sends the answer. The read deadline was lifted by then, or not yet set when the request was refused without reading. A caller that sent one byte per second or stopped in the middle got no answer at 31 s, for any refusal that keeps the connection, and held it and a goroutine for as long as it liked. The deadline is now set when a request arrives and lifted when the body is whole.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -34,15 +34,12 @@
 	}
 	release := func() { s.buffered.Release(size) }
 
-	// A sender that trickles its body must not hold memory beyond this bound.
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(s.options.Limits.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
 		release()
 		return nil, nil, bodyError(err, limit)
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, release, nil
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -217,6 +217,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The bound also holds for the rest of a body that net/http reads before it
+	// sends an answer. readBody lifts it when the body is whole.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.options.Limits.BodyTimeout))
 	s.handler.ServeHTTP(w, r)
 }
 
