daemon: share one host list between membership and routing

Cause: at its start a node read the host list twice, for membership and for cells and routing, so that a restart of 380 nodes asked for 760 lists within half a second.

--- a/internal/daemon/cells_test.go
+++ b/internal/daemon/cells_test.go
@@ -42,7 +42,7 @@
 		{engine("b")},
 	} {
 		lister.list = step
-		h.refresh(t.Context())
+		require.NoError(t, h.refresh(t.Context()))
 		c.refresh(t.Context())
 		want := 0
 		for _, host := range step {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -142,13 +142,14 @@
 // buildCluster builds the parts that nodes share: membership, configuration
 // and cells.
 func (d *Daemon) buildCluster() {
+	d.hosts = newHosts(d.store, d.log)
 	d.members = member.New(member.Options{
 		Self: member.Member{
 			Name: d.settings.Name, Address: d.settings.Advertise, PeerAddress: d.settings.PeerAdvertise,
 			FailureDomain: d.settings.FailureDomain, Region: d.settings.Region,
 			Incarnation: d.incarnation, State: member.Alive,
 		},
-		Caller: d.caller, Random: newRandom(), Log: d.log, Hosts: d.store,
+		Caller: d.caller, Random: newRandom(), Log: d.log, Hosts: d.hosts,
 	})
 	d.members.Register(d.mux)
 	d.config = config.New(config.Options{
@@ -157,7 +158,6 @@
 	})
 	d.config.Register(d.mux)
 	d.members.Carry(d.config)
-	d.hosts = newHosts(d.store, d.log)
 	d.cells = &cellSet{
 		name: d.settings.Name, maxEngines: d.settings.CellEngines, hosts: d.hosts, members: d.members,
 		document: d.document, caller: d.caller, engines: engine.NewClient(dialer.Transport(d.network.Dial)), log: d.log,
--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/verbenapier/verbenapier/internal/plat"
 )
@@ -16,6 +18,8 @@
 	// hostsInterval is the mean time between readings of the platform's list.
 	hostsInterval = 5 * time.Second
 	hostsTimeout  = 2 * time.Second
+	// hostsSpread spreads the first readings of nodes that start together.
+	hostsSpread = 500 * time.Millisecond
 )
 
 // hosts keeps the last host list that the platform gave. During an outage the
@@ -23,6 +27,7 @@
 type hosts struct {
 	lister plat.HostLister
 	log    logrus.FieldLogger
+	reads  singleflight.Group
 
 	mu      sync.Mutex
 	list    []plat.Host
@@ -37,21 +42,43 @@
 
 // Run reads the list until the context ends.
 func (h *hosts) Run(ctx context.Context) error {
+	if !sleep(ctx, time.Duration(rand.Float64()*float64(hostsSpread))) {
+		return nil
+	}
 	for {
-		h.refresh(ctx)
+		if err := h.refresh(ctx); err != nil {
+			h.log.WithError(err).WithField("event", "hosts_unavailable").Warn("the host list was not read; the last one stays in use")
+		}
 		if !sleep(ctx, jitter(hostsInterval)) {
 			return nil
 		}
 	}
 }
 
-func (h *hosts) refresh(ctx context.Context) {
+// Hosts implements plat.HostLister for the membership. It answers from the last
+// list while that is fresh and reads the platform otherwise.
+func (h *hosts) Hosts(ctx context.Context) ([]plat.Host, error) {
+	if h.Age() < hostsInterval {
+		return h.All(), nil
+	}
+	if err := h.refresh(ctx); err != nil {
+		return nil, err
+	}
+	return h.All(), nil
+}
+
+// refresh reads the list. Callers at the same time share one reading.
+func (h *hosts) refresh(ctx context.Context) error {
+	_, err, _ := h.reads.Do("", func() (any, error) { return nil, h.readList(ctx) })
+	return err
+}
+
+func (h *hosts) readList(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, hostsTimeout)
 	defer cancel()
 	list, err := h.lister.Hosts(ctx)
 	if err != nil {
-		h.log.WithError(err).WithField("event", "hosts_unavailable").Warn("the host list was not read; the last one stays in use")
-		return
+		return err
 	}
 	slices.SortFunc(list, func(a, b plat.Host) int { return strings.Compare(a.Name, b.Name) })
 	h.mu.Lock()
@@ -62,12 +89,13 @@
 	}
 	h.mu.Unlock()
 	if same {
-		return
+		return nil
 	}
 	select {
 	case h.changed <- struct{}{}:
 	default:
 	}
+	return nil
 }
 
 // All returns the last list, sorted by name.
