--- a/internal/daemon/poller.go
+++ b/internal/daemon/poller.go
@@ -13,15 +13,11 @@
 )
 
 const (
-	// loadInterval and eventInterval halve the bytes of polling against 500 ms
-	// and 1 s. With those the owner of a cell of 39 engines exceeded
-	// 30 KB/s by load reports and empty event lists alone; docs/CAPACITY.md has the figures.
-	loadInterval  = time.Second
-	eventInterval = 2 * time.Second
+	loadInterval  = 500 * time.Millisecond
+	eventInterval = time.Second
 	// lostReports is how many load reports in a row must fail before an engine
-	// counts as lost to the scheduler. With the call timeout of 2 s a silent
-	// engine is lost after 9 s.
-	lostReports = 3
+	// counts as lost to the scheduler.
+	lostReports = 4
 )
 
 // poller feeds the scheduler of a cell with the reports of one engine.
