--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -263,7 +263,7 @@
 					Name: h.Name, PeerAddress: h.PeerAddress, FailureDomain: h.FailureDomain, Region: h.Region, State: member.Alive,
 				})
 			}
-			h := newHosts(nil, nil, fixedMembers{}, quietLog())
+			h := newHosts(nil, nil, quietLog())
 			h.list, h.version = list, 1
 			c := &cellSet{
 				name: "another", maxEngines: 64, hosts: h, members: members, log: quietLog(), owned: map[string]*ownedCell{},
--- a/internal/daemon/cells_test.go
+++ b/internal/daemon/cells_test.go
@@ -26,7 +26,7 @@
 	}
 	lister := &fixedLister{}
 	members := fixedMembers{list: []member.Member{{Name: "node", FailureDomain: "d", Region: "r", State: member.Alive}}}
-	h := newHosts(lister, nil, members, quietLog())
+	h := newHosts(lister, nil, quietLog())
 	c := &cellSet{
 		name: "another", maxEngines: 64, hosts: h, log: quietLog(), owned: map[string]*ownedCell{},
 		members:  members,
@@ -43,7 +43,7 @@
 		{engine("b")},
 	} {
 		lister.list = step
-		h.refresh(t.Context())
+		require.NoError(t, h.refresh(t.Context()))
 		c.refresh(t.Context())
 		want := 0
 		for _, host := range step {
--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/verbenapier/verbenapier/internal/cells"
 	"github.com/verbenapier/verbenapier/internal/member"
@@ -24,6 +26,8 @@
 	// hostsInterval is the mean time between two readings of a short list.
 	hostsInterval = 4 * time.Second
 	hostsTimeout  = 2 * time.Second
+	// hostsSpread spreads the first readings of nodes that start together.
+	hostsSpread = 500 * time.Millisecond
 	// hostsRate bounds the mean rate at which a node reads the platform's list,
 	// in bytes per second. A list of 2,500 hosts has half a megabyte.
 	hostsRate = 15 << 10
@@ -35,10 +39,12 @@
 // failure domain reads the platform; the others ask that node, which sends the
 // list only when it has changed. During an outage the list stays as it is.
 type hosts struct {
-	lister  plat.HostLister
-	caller  wire.Caller
+	lister plat.HostLister
+	caller wire.Caller
+	log    logrus.FieldLogger
+	reads  singleflight.Group
+	// members is nil until follow: the membership itself needs the list.
 	members membership
-	log     logrus.FieldLogger
 
 	mu      sync.Mutex
 	list    []plat.Host
@@ -61,10 +67,13 @@
 	Hosts     []plat.Host `json:"hosts,omitempty"`
 }
 
-func newHosts(lister plat.HostLister, caller wire.Caller, members membership, log logrus.FieldLogger) *hosts {
-	return &hosts{lister: lister, caller: caller, members: members, log: log, changed: make(chan struct{}, 1)}
+func newHosts(lister plat.HostLister, caller wire.Caller, log logrus.FieldLogger) *hosts {
+	return &hosts{lister: lister, caller: caller, log: log, changed: make(chan struct{}, 1)}
 }
 
+// follow sets the membership that names the readers. It is called before Run.
+func (h *hosts) follow(members membership) { h.members = members }
+
 func (h *hosts) register(mux *wire.Mux) {
 	mux.Handle(methodHosts, wire.Typed(func(_ context.Context, _ string, q hostsQuery) (hostsReply, error) {
 		return h.reply(q)
@@ -73,34 +82,61 @@
 
 // Run keeps the list up to date until the context ends.
 func (h *hosts) Run(ctx context.Context) error {
+	if !sleep(ctx, time.Duration(rand.Float64()*float64(hostsSpread))) {
+		return nil
+	}
 	for {
-		h.refresh(ctx)
+		if err := h.refresh(ctx); err != nil {
+			h.log.WithError(err).WithField("event", "hosts_unavailable").Warn("the host list was not read; the last one stays in use")
+		}
 		if !sleep(ctx, jitter(h.interval())) {
 			return nil
 		}
 	}
 }
 
-// refresh asks the reader of this failure domain, or the platform when that is
+// Hosts implements plat.HostLister for the membership. It answers from the last
+// list while that is fresh and refreshes it otherwise.
+func (h *hosts) Hosts(ctx context.Context) ([]plat.Host, error) {
+	if h.Age() < hostsInterval {
+		return h.All(), nil
+	}
+	if err := h.refresh(ctx); err != nil {
+		return nil, err
+	}
+	return h.All(), nil
+}
+
+// refresh brings the list up to date. Callers at the same time share one
+// reading.
+func (h *hosts) refresh(ctx context.Context) error {
+	_, err, _ := h.reads.Do("", func() (any, error) { return nil, h.readList(ctx) })
+	return err
+}
+
+// readList asks the reader of this failure domain, or the platform when that is
 // this node or cannot answer.
-func (h *hosts) refresh(ctx context.Context) {
+func (h *hosts) readList(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, hostsTimeout)
 	defer cancel()
 	reader, ok := h.reader()
 	if ok && h.ask(ctx, reader) == nil {
-		return
+		return nil
 	}
 	list, err := h.lister.Hosts(ctx)
 	if err != nil {
-		h.log.WithError(err).WithField("event", "hosts_unavailable").Warn("the host list was not read; the last one stays in use")
-		return
+		return err
 	}
 	h.set(list, time.Now())
+	return nil
 }
 
 // reader returns the member of this failure domain that reads the platform,
 // unless it is this node.
 func (h *hosts) reader() (member.Member, bool) {
+	if h.members == nil {
+		return member.Member{}, false
+	}
 	self := h.members.Self()
 	var near []member.Member
 	for _, m := range h.members.Members() {
--- a/internal/daemon/hosts_test.go
+++ b/internal/daemon/hosts_test.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/verbenapier/verbenapier/internal/netem"
 	"github.com/verbenapier/verbenapier/internal/plat"
 	"github.com/verbenapier/verbenapier/internal/wire"
+	"github.com/verbenapier/verbenapier/pkg/fault"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
@@ -43,7 +46,8 @@
 			members = append(members, m)
 			mux := wire.NewMux()
 			endpoint := network.Attach(m.Name, m.PeerAddress, mux)
-			h := newHosts(store.Client(endpoint), endpoint, sharedMembers{fixedMembers{list: []member.Member{m}}, &members}, log)
+			h := newHosts(store.Client(endpoint), endpoint, log)
+			h.follow(sharedMembers{fixedMembers{list: []member.Member{m}}, &members})
 			h.register(mux)
 			lists = append(lists, h)
 		}
@@ -86,3 +90,50 @@
 	}
 	return rest
 }
+
+// slowLister counts its readings, which take a while, and may be down.
+type slowLister struct {
+	reads atomic.Int64
+	down  atomic.Bool
+}
+
+func (l *slowLister) Hosts(ctx context.Context) ([]plat.Host, error) {
+	l.reads.Add(1)
+	sleep(ctx, 100*time.Millisecond)
+	if l.down.Load() {
+		return nil, fault.New(fault.PlatformDown, "the platform is down")
+	}
+	return []plat.Host{{Name: "node", Role: plat.RoleEntry}}, nil
+}
+
+// Guards against a second reading of the host list for the membership, and
+// against an old list that the membership takes for a new one in an outage.
+func TestMembershipSharesHostList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lister := &slowLister{}
+		h := newHosts(lister, nil, quietLog())
+		ask := func() error {
+			list, err := h.Hosts(t.Context())
+			if err == nil {
+				require.Len(t, list, 1)
+			}
+			return err
+		}
+		g := group.New(t.Context())
+		for range 2 {
+			g.Go("ask", func(context.Context) error { return ask() })
+		}
+		require.NoError(t, g.Wait())
+		require.EqualValues(t, 1, lister.reads.Load(), "readings at the same time")
+		time.Sleep(hostsInterval / 2)
+		require.NoError(t, ask())
+		require.EqualValues(t, 1, lister.reads.Load(), "a fresh list was read again")
+		time.Sleep(hostsInterval)
+		require.NoError(t, ask())
+		require.EqualValues(t, 2, lister.reads.Load(), "an old list was not read again")
+		lister.down.Store(true)
+		time.Sleep(2 * hostsInterval)
+		require.True(t, fault.Is(ask(), fault.PlatformDown))
+		require.Len(t, h.All(), 1)
+	})
+}
