entry: release a suspect's dispatch that no engine began

TestCrashingPrompt failed in 5 to 16 of about 170 runs: a request that had shared an engine with the crashing prompt ended at its time limit. Its second dispatch, alone, met an engine that had died too and was refused the connection, and the third waited for the second's reservation, which lasts until the time limit. TestSuspectIsReleased fails without the change.

Excluded: the scheduler's gathering for requests alone, which was suspected first; the trace shows the wait before the scheduler was asked.

--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -65,6 +65,15 @@
 	}})
 }
 
+// Release implements entry.Quarantine.
+func (q quarantine) Release(ctx context.Context, d entry.Dispatch) error {
+	fingerprint, err := poison.ParseFingerprint(d.Fingerprint)
+	if err != nil {
+		return err
+	}
+	return q.registry.Release(ctx, fingerprint, d.ID)
+}
+
 // Cleared implements entry.Quarantine.
 func (q quarantine) Cleared(ctx context.Context, d entry.Dispatch) error {
 	fingerprint, err := poison.ParseFingerprint(d.Fingerprint)
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -122,6 +122,7 @@
 	}
 	grant, err := c.acquire(ctx, alone)
 	if err != nil {
+		c.giveUp(ctx, dispatch, alone)
 		return err
 	}
 	c.engine.Store(grant.Engine)
@@ -141,6 +142,9 @@
 		return nil
 	}
 	c.avoid = append(c.avoid, grant.Engine)
+	if !t.begun {
+		c.giveUp(ctx, dispatch, alone)
+	}
 	if t.crashed {
 		if blameErr := c.blame(ctx, grant, dispatch, alone); blameErr != nil {
 			return fault.Wrap(fault.UpstreamLost, blameErr, "engine %s was lost and the prompt could not be recorded as a suspect", grant.Engine)
@@ -158,6 +162,18 @@
 	return c.server.options.Quarantine.Blame(ctx, grant.Engine, d, alone)
 }
 
+// giveUp releases a suspect's dispatch that no engine began.
+func (c *call) giveUp(ctx context.Context, d Dispatch, alone bool) {
+	if !alone {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cleanupTimeout)
+	defer cancel()
+	if err := c.server.options.Quarantine.Release(ctx, d); err != nil {
+		c.log("suspect_not_released").WithError(err).Warn("a suspect stays reserved until the time limit of its dispatch")
+	}
+}
+
 // clear records in the background that a suspect finished alone.
 func (c *call) clear(ctx context.Context, d Dispatch) {
 	c.background(ctx, "clear suspect", func(ctx context.Context) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,6 +65,9 @@
 	// Blame records that an engine died while it ran the dispatch. It returns
 	// after the record is committed.
 	Blame(ctx context.Context, engine string, d Dispatch, alone bool) error
+	// Release gives up a dispatch that was admitted to run alone and that no
+	// engine began, so that the next one need not wait for its time limit.
+	Release(ctx context.Context, d Dispatch) error
 	// Cleared records that a dispatch that ran alone has finished.
 	Cleared(ctx context.Context, d Dispatch) error
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -220,3 +220,47 @@
 	v, _ = run(t, 0, 0, naive)
 	require.Zero(t, v.violations(), "%+v", v)
 }
+
+// reserving admits one dispatch alone at a time, like the quarantine for a
+// suspect.
+type reserving struct {
+	open
+	runner string
+}
+
+func (r *reserving) Admit(ctx context.Context, d Dispatch) (bool, error) {
+	for r.runner != "" {
+		if pause(ctx, time.Millisecond); ctx.Err() != nil {
+			return false, fault.New(fault.NotStarted, "the suspect waited until its time limit")
+		}
+	}
+	r.runner = d.ID
+	return true, nil
+}
+
+func (r *reserving) Release(_ context.Context, d Dispatch) error {
+	if r.runner == d.ID {
+		r.runner = ""
+	}
+	return nil
+}
+
+// Guards against a suspect that waits until its time limit for its own earlier
+// dispatch, which no engine began.
+func TestSuspectIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 2, 0)
+		f.engines[0].alive = false
+		g := group.New(t.Context())
+		s := newServer(g, f, testDocument())
+		s.options.Quarantine = &reserving{open: open{f}}
+		for i := range 8 {
+			s.options.Quarantine.(*reserving).runner = ""
+			w := post(t.Context(), s, fmt.Sprintf(`{"model":"m","prompt":"p%d","max_tokens":2}`, i), nil)
+			if w.Code != http.StatusOK {
+				requireError(t, w, fault.Unreachable, "")
+			}
+		}
+		require.NoError(t, g.Wait())
+	})
+}
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -274,6 +274,7 @@
 type open struct{ *fleet }
 
 func (open) Admit(context.Context, Dispatch) (bool, error) { return false, nil }
+func (open) Release(context.Context, Dispatch) error       { return nil }
 func (open) Cleared(context.Context, Dispatch) error       { return nil }
 
 func (f *fleet) Admit(context.Context, string, confd.Organisation, int) (func(), error) {
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -31,8 +31,9 @@
 	base int
 	// crashed says that the engine died under the stream.
 	crashed bool
-	// held says that the engine may hold the stream.
-	held bool
+	// held says that the engine may hold the stream, begun that it may have
+	// held it at some time.
+	held, begun bool
 }
 
 // run starts the stream and passes it on to its end. A lost connection is
@@ -83,7 +84,7 @@
 	case fault.NotFound:
 		return nil, fault.Wrap(fault.Refused, err, "engine %s does not serve the model", t.grant.Engine)
 	}
-	c.dispatched, t.held = true, true
+	c.dispatched, t.held, t.begun = true, true, true
 	if err == nil {
 		return reader, nil
 	}
