member: push to the next member on the ring as well as to random ones

TestFaults failed in 2 of 30 runs: with four random receivers the epidemic misses one of twelve members at times, which then learns of a leaving host from a ping only. The same chance let views differ after a death.

--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -13,7 +13,7 @@
 )
 
 // pushLoop sends new updates and new configuration revisions at once to some
-// random members. Each receiver for which they are new does the same.
+// members. Each receiver for which they are new does the same.
 func (t *Table) pushLoop(ctx context.Context) error {
 	g := group.New(ctx)
 	for {
@@ -24,7 +24,7 @@
 		}
 		t.mu.Lock()
 		updates := t.takePushes()
-		peers := t.sample(pushFanout, "")
+		peers := t.receivers()
 		t.mu.Unlock()
 		for _, peer := range peers {
 			g.Go("push", func(ctx context.Context) error {
@@ -39,6 +39,19 @@
 	}
 }
 
+// receivers returns the members that a push goes to: the next one on the ring
+// and others at random. Random members alone miss one member of twelve in about
+// 7% of all spreads; with the next one on the ring, everyone is reached as long
+// as messages arrive. The caller holds mu.
+func (t *Table) receivers() []Member {
+	ring := t.order()
+	if len(ring) < 2 {
+		return nil
+	}
+	next := ring[(slices.Index(ring, t.self.Name)+1)%len(ring)]
+	return append([]Member{t.records[next].Member}, t.sample(pushFanout-1, next)...)
+}
+
 func (t *Table) takePushes() []Member {
 	var updates []Member
 	for name, m := range t.pushes {
@@ -60,7 +73,7 @@
 	t.wake()
 }
 
-// Leave marks this node as leaving and tells some random members. It returns
+// Leave marks this node as leaving and tells some members. It returns
 // when they know, or Unreachable when none of them answered.
 func (t *Table) Leave(ctx context.Context) error {
 	t.mu.Lock()
@@ -70,7 +83,7 @@
 		t.spread(t.self)
 		t.notify()
 	}
-	peers := t.sample(pushFanout, "")
+	peers := t.receivers()
 	update := t.self
 	t.mu.Unlock()
 	if len(peers) == 0 {
