entry: take memory for a body of unknown length as it arrives

Each chunked body reserved the largest size (16 MiB of 256), so 16 slow senders with a valid key made a host refuse every other request with a body for up to 30 s. TestSlowBodiesRefuseNoOthers holds three times that many.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -25,24 +26,54 @@
 	if r.ContentLength > limit {
 		return nil, nil, fault.New(fault.TooLarge, "the body has %d bytes; allowed are %d", r.ContentLength, limit)
 	}
-	size := limit
-	if r.ContentLength >= 0 {
-		size = r.ContentLength
+	budget := &bodyBudget{server: s}
+	if err := budget.grow(max(r.ContentLength, 0)); err != nil {
+		return nil, nil, err
 	}
-	if !s.buffered.TryAcquire(size) {
-		return nil, nil, fault.New(fault.Overloaded, "host %s has no memory for this request now", s.options.Name)
+	var body bytes.Buffer
+	body.Grow(int(budget.taken))
+	source := http.MaxBytesReader(w, r.Body, limit)
+	for r.ContentLength < 0 || int64(body.Len()) < r.ContentLength {
+		// A body of unknown length takes memory as it arrives: reserving the
+		// largest size would let a few slow senders refuse all others.
+		if int64(body.Len()) >= budget.taken {
+			if err := budget.grow(bodyStep); err != nil {
+				budget.release()
+				return nil, nil, err
+			}
+		}
+		_, err := io.CopyN(&body, source, min(bodyStep, budget.taken-int64(body.Len())))
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			budget.release()
+			return nil, nil, bodyError(err, limit)
+		}
 	}
-	release := func() { s.buffered.Release(size) }
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return body.Bytes(), budget.release, nil
+}
 
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		release()
-		return nil, nil, bodyError(err, limit)
+// bodyStep is the memory that a body of unknown length takes at a time.
+const bodyStep = 64 << 10
+
+// bodyBudget is the share of the buffered memory that one body holds.
+type bodyBudget struct {
+	server *Server
+	taken  int64
+}
+
+func (b *bodyBudget) grow(size int64) error {
+	if !b.server.buffered.TryAcquire(size) {
+		return fault.New(fault.Overloaded, "host %s has no memory for this request now", b.server.options.Name)
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	return body, release, nil
+	b.taken += size
+	return nil
 }
 
+func (b *bodyBudget) release() { b.server.buffered.Release(b.taken) }
+
 func bodyError(err error, limit int64) error {
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -160,3 +162,38 @@
 		})
 	}
 }
+
+// heldBody delivers nothing until it is released, and then its end.
+type heldBody struct{ release chan struct{} }
+
+func (b *heldBody) Read([]byte) (int, error) {
+	<-b.release
+	return 0, io.EOF
+}
+
+// Guards against a few senders of unknown length that take all memory for
+// bodies before they have sent any.
+func TestSlowBodiesRefuseNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1, 0)
+		g := group.New(t.Context())
+		s := newServer(g, f, testDocument())
+		held := &heldBody{make(chan struct{})}
+		for range 3 * s.options.Limits.MaxBuffered / s.options.Limits.MaxBody {
+			g.Go("sender", func(ctx context.Context) error {
+				r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/completions", held)
+				r.Header.Set("Authorization", "Bearer "+testKey)
+				w := httptest.NewRecorder()
+				s.ServeHTTP(w, r)
+				requireError(t, w, fault.Invalid, "JSON")
+				return nil
+			})
+		}
+		synctest.Wait()
+		w := post(t.Context(), s, `{"model":"m","prompt":"p","max_tokens":2}`, nil)
+		require.Equal(t, http.StatusOK, w.Code, w.Body.String())
+		close(held.release)
+		require.NoError(t, g.Wait())
+		require.True(t, s.buffered.TryAcquire(s.options.Limits.MaxBuffered))
+	})
+}
