daemon: send the difference of host lists between nodes

At 2,100 engines every node read 393 KB every 5 s: 78.7 KB/s of the 30 KB/s that control may use, and 76 platform reads/s. The price is lag: up to 43 s for a change of an upstream at that size, about 10 s at today's.

--- a/internal/daemon/hosts.go
+++ b/internal/daemon/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -33,11 +34,15 @@
 	hostsRate = 15 << 10
 	// hostsMaxAge is the age at which the list of a peer is not worth taking.
 	hostsMaxAge = 2 * time.Minute
+	// hostsPast is how many earlier lists a node keeps. At the design size the
+	// list changes every three minutes and peers ask every four seconds.
+	hostsPast = 4
 )
 
 // hosts keeps the last host list that the platform gave. One node of each
 // failure domain reads the platform; the others ask that node, which sends the
-// list only when it has changed. During an outage the list stays as it is.
+// list the
+// difference when it has changed. During an outage the list stays as it is.
 type hosts struct {
 	lister plat.HostLister
 	caller wire.Caller
@@ -51,6 +56,7 @@
 	hash    uint64
 	size    int
 	version uint64
+	past    []pastList
 	read    time.Time
 	changed chan struct{}
 }
@@ -60,11 +66,21 @@
 	Hash uint64 `json:"hash"`
 }
 
-// hostsReply is the peer's list. Hosts is empty when the hash is the same.
+// hostsReply is the peer's list. With Delta, Hosts are those that are new or
+// changed since the asker's list and Removed the names of those gone since;
+// otherwise Hosts is the whole list. Both are empty when the hash is the same.
 type hostsReply struct {
 	Hash      uint64      `json:"hash"`
 	AgeMillis int64       `json:"age_ms"`
+	Delta     bool        `json:"delta,omitempty"`
 	Hosts     []plat.Host `json:"hosts,omitempty"`
+	Removed   []string    `json:"removed,omitempty"`
+}
+
+// pastList is an earlier list, kept to answer with the difference.
+type pastList struct {
+	hash uint64
+	list []plat.Host
 }
 
 func newHosts(lister plat.HostLister, caller wire.Caller, log logrus.FieldLogger) *hosts {
@@ -148,10 +164,11 @@
 	return reader, ok && reader.Name != self.Name
 }
 
-// ask takes over the list of a peer. It fails when that list is too old.
+// ask takes over the list of a peer. It fails when that list is too old, or when
+// the difference does not lead to it; the next reading then asks for the whole.
 func (h *hosts) ask(ctx context.Context, peer member.Member) error {
 	h.mu.Lock()
-	hash := h.hash
+	hash, list := h.hash, h.list
 	h.mu.Unlock()
 	var reply hostsReply
 	if err := h.caller.Call(ctx, peer.PeerAddress, methodHosts, hostsQuery{Hash: hash}, &reply); err != nil {
@@ -161,16 +178,50 @@
 	if age > hostsMaxAge {
 		return fault.New(fault.Stale, "the host list of %s is %s old", peer.Name, age)
 	}
-	if reply.Hash != hash {
-		h.set(reply.Hosts, time.Now().Add(-age))
+	if reply.Hash == hash {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.read = time.Now().Add(-age)
 		return nil
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.read = time.Now().Add(-age)
+	if reply.Delta {
+		reply.Hosts = patchHosts(list, reply.Hosts, reply.Removed)
+	}
+	if h.set(reply.Hosts, time.Now().Add(-age)) != reply.Hash {
+		return fault.New(fault.Stale, "the difference to the host list of %s does not fit", peer.Name)
+	}
 	return nil
 }
 
+// diffHosts returns the hosts of to that are new or changed since from, and the
+// names of those that are gone. Both lists are sorted by name.
+func diffHosts(from, to []plat.Host) (changed []plat.Host, removed []string) {
+	before := make(map[string]plat.Host, len(from))
+	for _, host := range from {
+		before[host.Name] = host
+	}
+	for _, host := range to {
+		if old, ok := before[host.Name]; !ok || old != host {
+			changed = append(changed, host)
+		}
+		delete(before, host.Name)
+	}
+	return changed, slices.Sorted(maps.Keys(before))
+}
+
+// patchHosts applies the result of diffHosts to a list.
+func patchHosts(list, changed []plat.Host, removed []string) []plat.Host {
+	gone := map[string]bool{}
+	for _, name := range removed {
+		gone[name] = true
+	}
+	for _, host := range changed {
+		gone[host.Name] = true
+	}
+	kept := slices.DeleteFunc(slices.Clone(list), func(host plat.Host) bool { return gone[host.Name] })
+	return append(kept, changed...)
+}
+
 // reply answers a peer. NotFound says that this node has no list yet.
 func (h *hosts) reply(q hostsQuery) (hostsReply, error) {
 	h.mu.Lock()
@@ -179,32 +230,45 @@
 		return hostsReply{}, fault.New(fault.NotFound, "no host list was read yet")
 	}
 	reply := hostsReply{Hash: h.hash, AgeMillis: time.Since(h.read).Milliseconds()}
-	if q.Hash != h.hash {
-		reply.Hosts = h.list
+	if q.Hash == h.hash {
+		return reply, nil
+	}
+	for _, p := range h.past {
+		if p.hash == q.Hash {
+			reply.Delta = true
+			reply.Hosts, reply.Removed = diffHosts(p.list, h.list)
+			return reply, nil
+		}
 	}
+	reply.Hosts = h.list
 	return reply, nil
 }
 
-// set puts a list in use and tells Changed when it differs.
-func (h *hosts) set(list []plat.Host, read time.Time) {
+// set puts a list in use, tells Changed when it differs and returns its hash.
+func (h *hosts) set(list []plat.Host, read time.Time) uint64 {
 	slices.SortFunc(list, func(a, b plat.Host) int { return strings.Compare(a.Name, b.Name) })
 	// Hosts are plain data, so encoding them cannot fail.
 	data, _ := json.Marshal(list)
 	hash := xxhash.Sum64(data)
 	h.mu.Lock()
 	same := hash == h.hash
+	if !same && h.version > 0 {
+		h.past = append(h.past, pastList{h.hash, h.list})
+		h.past = h.past[max(0, len(h.past)-hostsPast):]
+	}
 	h.list, h.hash, h.size, h.read = list, hash, len(data), read
 	if !same {
 		h.version++
 	}
 	h.mu.Unlock()
 	if same {
-		return
+		return hash
 	}
 	select {
 	case h.changed <- struct{}{}:
 	default:
 	}
+	return hash
 }
 
 // interval returns the mean time to the next reading. Asking a peer costs a
--- a/internal/daemon/hosts_test.go
+++ b/internal/daemon/hosts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -137,3 +138,61 @@
 		require.Len(t, h.All(), 1)
 	})
 }
+
+// Guards against host lists that take more of a node's bytes than control may
+// use at the design size, and prints the figures of docs/CAPACITY.md: 42 nodes
+// of one failure domain, of which hosts change every 164 s.
+func TestHostListTraffic(t *testing.T) {
+	for _, engines := range []int{262, 525, 1050, 2100} {
+		t.Run(fmt.Sprintf("%d engines", engines), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const nodes, changes, period = 42, 8, 164 * time.Second
+				network := netem.New(1, netem.Link{Delay: time.Millisecond})
+				store := netem.NewStore(1)
+				list := hostList(engines)
+				store.SetHosts(list)
+				var members []member.Member
+				var endpoints []*netem.Endpoint
+				g := group.New(t.Context())
+				for i := range nodes {
+					m := member.Member{Name: fmt.Sprintf("n%d", i), PeerAddress: fmt.Sprintf("n%d:1", i), FailureDomain: "a", State: member.Alive}
+					members = append(members, m)
+					mux := wire.NewMux()
+					endpoint := network.Attach(m.Name, m.PeerAddress, mux)
+					endpoints = append(endpoints, endpoint)
+					h := newHosts(store.Client(endpoint), endpoint, quietLog())
+					h.follow(sharedMembers{fixedMembers{list: []member.Member{m}}, &members})
+					h.register(mux)
+					g.Go("hosts", h.Run)
+				}
+				time.Sleep(time.Minute)
+				before, calls := make([]netem.Traffic, nodes), store.Calls().Hosts
+				for i, e := range endpoints {
+					before[i] = e.Traffic()
+				}
+				for i := range changes {
+					list = append([]plat.Host{}, list...)
+					list[i].Address = fmt.Sprintf("10.9.9.%d:80", i)
+					store.SetHosts(list)
+					time.Sleep(period)
+				}
+				seconds := (changes * period).Seconds()
+				var most, total float64
+				for i, e := range endpoints {
+					now := e.Traffic()
+					bytes := float64(now.BytesOut + now.BytesIn - before[i].BytesOut - before[i].BytesIn)
+					most, total = max(most, bytes/seconds), total+bytes/seconds
+				}
+				reads := float64(store.Calls().Hosts-calls) / seconds
+				data, err := json.Marshal(list)
+				require.NoError(t, err)
+				t.Logf("list %d bytes; between nodes %.0f bytes/s on average, %.0f the reader; platform %.3f reads/s, %.0f bytes/s",
+					len(data), total/nodes, most, reads, reads*float64(len(data)))
+				require.Less(t, most+reads*float64(len(data)), 30_000.0)
+				g.Stop()
+				require.NoError(t, g.Wait())
+				require.NoError(t, network.Close())
+			})
+		})
+	}
+}
