--- a/emul/system/caller_test.go
+++ b/emul/system/caller_test.go
@@ -25,7 +25,7 @@
 }
 
 func (d *deployment) caller(key string) *caller {
-	transport := &http.Transport{DialContext: host{d.net, callerHost}.DialContext, MaxIdleConnsPerHost: 64}
+	transport := &http.Transport{DialContext: d.net.Host(callerHost).DialContext, MaxIdleConnsPerHost: 64}
 	return &caller{d, key, &http.Client{Transport: transport, Timeout: callerTimeout}}
 }
 
--- a/emul/system/client_test.go
+++ b/emul/system/client_test.go
@@ -19,7 +19,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := deploy(t)
 		defer d.close()
-		transport := &http.Transport{DialContext: host{d.net, callerHost}.DialContext}
+		transport := &http.Transport{DialContext: d.net.Host(callerHost).DialContext}
 		defer transport.CloseIdleConnections()
 		client := openai.NewClient(
 			option.WithBaseURL("http://"+nodeAddr(0, 80)+"/v1"), option.WithAPIKey(key),
--- a/emul/system/deploy_test.go
+++ b/emul/system/deploy_test.go
@@ -26,6 +26,7 @@
 	"github.com/verbenapier/verbenapier/emul/internal/plat"
 	"github.com/verbenapier/verbenapier/internal/certs"
 	"github.com/verbenapier/verbenapier/internal/daemon"
+	"github.com/verbenapier/verbenapier/internal/netem"
 	"github.com/verbenapier/verbenapier/internal/params"
 	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/group"
@@ -82,7 +83,7 @@
 type deployment struct {
 	plan      plan
 	t         *testing.T
-	net       *network
+	net       *netem.Fabric
 	group     *group.Group
 	log       *logrus.Logger
 	nodeLog   *logrus.Logger
@@ -155,7 +156,7 @@
 	authority, err := certs.Authority("ca", 24*time.Hour)
 	require.NoError(t, err)
 	d := &deployment{
-		plan: p.withDefaults(), t: t, net: newNetwork(time.Millisecond), group: group.New(context.Background()),
+		plan: p.withDefaults(), t: t, net: netem.NewFabric(time.Millisecond), group: group.New(context.Background()),
 		log: log, nodeLog: nodeLog, authority: authority,
 		engines: map[string]*engineProcess{}, nodes: map[string]*nodeProcess{},
 		ran: map[string][]string{}, sent: map[string]int{}, toldNotRun: map[string]int{},
@@ -190,7 +191,7 @@
 	}
 	lastEnd = time.Now()
 	d.group.Stop()
-	d.net.close()
+	d.net.Close()
 	require.NoError(d.t, d.group.Wait())
 }
 
@@ -230,7 +231,7 @@
 
 // serve runs an HTTP server of a stand-in until the context ends.
 func (d *deployment) serve(ctx context.Context, name, address string, handler http.Handler, sw *fault.Switch) {
-	listener, err := host{d.net, name}.Listen(ctx, address)
+	listener, err := d.net.Host(name).Listen(ctx, address)
 	require.NoError(d.t, err)
 	server := &http.Server{Handler: d.countStarts(sw.Wrap(handler)), ConnContext: sw.ConnContext, ReadHeaderTimeout: time.Minute}
 	d.group.Go(name, func(context.Context) error {
@@ -249,7 +250,7 @@
 		d.crashes++
 		d.mu.Unlock()
 		cancel()
-		d.net.kill(name)
+		d.net.Kill(name)
 	}
 	sw := fault.NewSwitch(d.log, uint64(i), crash)
 	model := batch.New(batch.Config{
@@ -258,7 +259,7 @@
 		StepPerContext: 50 * time.Microsecond, TimeScale: 1, LoadLag: 500 * time.Millisecond,
 		EventLag: time.Second, EventGap: 0.02, Seed: uint64(i), Role: "mixed", CrashMarker: crashMarker, Crash: crash,
 		Models:  []batch.Model{{Name: "draft", Version: "1"}},
-		Peers:   standin.NewPeers(&http.Client{Transport: &http.Transport{DialContext: host{d.net, name}.DialContext}}),
+		Peers:   standin.NewPeers(&http.Client{Transport: &http.Transport{DialContext: d.net.Host(name).DialContext}}),
 		Control: sw, LoadTime: time.Second,
 	})
 	d.engines[name] = &engineProcess{model: model, sw: sw, stop: cancel}
@@ -266,7 +267,7 @@
 		model.Run(ctx)
 		return nil
 	})
-	d.net.revive(name)
+	d.net.Revive(name)
 	d.serve(ctx, name, engineAddr(i), d.record(name, d.plan.engine(standin.New(d.log, model))), sw)
 }
 
@@ -320,7 +321,7 @@
 
 // killEngine ends an engine's process; its streams are lost.
 func (d *deployment) killEngine(i int) {
-	d.net.kill(engineName(i))
+	d.net.Kill(engineName(i))
 	d.engines[engineName(i)].stop()
 	d.engines[engineName(i)].dead = true
 }
@@ -346,8 +347,8 @@
 	}`, name, domains[i%len(domains)], platformAddr, nodeAddr(i, 80), nodeAddr(i, 81), nodeAddr(i, 82),
 		d.authority.Certificate, pair.Certificate, pair.Key))
 	require.NoError(d.t, err)
-	d.net.revive(name)
-	process, err := daemon.New(settings, host{d.net, name}, d.nodeLog)
+	d.net.Revive(name)
+	process, err := daemon.New(settings, d.net.Host(name), d.nodeLog)
 	require.NoError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &nodeProcess{stop: cancel, ended: make(chan error, 1)}
@@ -392,7 +393,7 @@
 // from everything and then told to stop, since it cannot be made to vanish.
 func (d *deployment) killNode(i int) {
 	d.unsettle(i)
-	d.net.kill(nodeName(i))
+	d.net.Kill(nodeName(i))
 	d.nodes[nodeName(i)].stop()
 	d.nodes[nodeName(i)].awaitEnd(d.t)
 }
@@ -420,7 +421,7 @@
 		require.NoError(d.t, err)
 		d.operator = &tls.Config{Certificates: []tls.Certificate{cert}, InsecureSkipVerify: true}
 	}
-	transport := &http.Transport{DialContext: host{d.net, operatorHost}.DialContext, TLSClientConfig: d.operator}
+	transport := &http.Transport{DialContext: d.net.Host(operatorHost).DialContext, TLSClientConfig: d.operator}
 	defer transport.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
@@ -461,7 +462,7 @@
 		addresses[i] = nodeAddr(i, 80)
 	}
 	transport := &http.Transport{
-		DialContext: host{d.net, callerHost}.DialContext, MaxIdleConnsPerHost: 256,
+		DialContext: d.net.Host(callerHost).DialContext, MaxIdleConnsPerHost: 256,
 		// Callers give up a silent connection like any HTTP client with a
 		// timeout for the response header.
 		ResponseHeaderTimeout: 40 * time.Second,
@@ -535,7 +536,7 @@
 
 // sendOne sends one prompt to a node and returns the code of its error, or ok.
 func (d *deployment) sendOne(node int, prompt string) string {
-	transport := &http.Transport{DialContext: host{d.net, callerHost}.DialContext}
+	transport := &http.Transport{DialContext: d.net.Host(callerHost).DialContext}
 	defer transport.CloseIdleConnections()
 	body := fmt.Sprintf(`{"model":"draft","prompt":%q,"max_tokens":4}`, prompt)
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+nodeAddr(node, 80)+"/v1/completions", strings.NewReader(body))
@@ -551,3 +552,11 @@
 	}
 	return answer.Error.Code
 }
+
+// wait sleeps for d or until the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/emul/system/input_test.go
+++ b/emul/system/input_test.go
@@ -96,7 +96,7 @@
 	g := group.New(t.Context())
 	for range inputCallers {
 		g.Go("caller", func(ctx context.Context) error {
-			conn, err := host{d.net, callerHost}.Dial(ctx, nodeAddr(0, 80))
+			conn, err := d.net.Host(callerHost).Dial(ctx, nodeAddr(0, 80))
 			require.NoError(t, err)
 			defer func() { _ = conn.Close() }()
 			ctx, cancel := context.WithCancel(ctx)
--- a/emul/system/isolation_test.go
+++ b/emul/system/isolation_test.go
@@ -183,7 +183,7 @@
 		time.Sleep(2 * time.Second)
 		views()
 		d.killEngine(0)
-		d.net.silence(engineName(1))
+		d.net.Silence(engineName(1), callerHost)
 		require.NoError(t, d.desks[0].Apply([]byte(`{"lose_share":0.5}`)))
 		time.Sleep(time.Second)
 		views()
--- a/emul/system/once_test.go
+++ b/emul/system/once_test.go
@@ -40,7 +40,7 @@
 			before: allDesks(`{"slow_factor":400}`),
 			during: func(d *deployment) {
 				for i := range deskCount {
-					d.net.silence(deskName(i))
+					d.net.Silence(deskName(i), callerHost)
 				}
 			},
 			after: allDesks(`{"slow_factor":1}`),
--- a/emul/system/system_test.go
+++ b/emul/system/system_test.go
@@ -42,25 +42,25 @@
 			d.startEngine(1)
 		}},
 		"connections of an engine go silent": {allWhole: true, faults: func(d *deployment) {
-			d.net.silence(engineName(2))
+			d.net.Silence(engineName(2), callerHost)
 			time.Sleep(5 * time.Second)
-			d.net.silence(engineName(3))
+			d.net.Silence(engineName(3), callerHost)
 		}},
 		"node dies and returns": {faults: func(d *deployment) {
 			d.killNode(1)
 			time.Sleep(10 * time.Second)
 			d.startNode(1)
 		}},
-		"connections of a node go silent": {faults: func(d *deployment) { d.net.silence(nodeName(0)) }},
+		"connections of a node go silent": {faults: func(d *deployment) { d.net.Silence(nodeName(0), callerHost) }},
 		"node stalls for ten seconds": {faults: func(d *deployment) {
-			d.net.freeze(nodeName(2))
+			d.net.Freeze(nodeName(2))
 			time.Sleep(10 * time.Second)
-			d.net.thaw(nodeName(2))
+			d.net.Thaw(nodeName(2))
 		}},
 		"two nodes lose each other": {allWhole: true, faults: func(d *deployment) {
-			d.net.cut(nodeName(0), nodeName(1))
+			d.net.Cut(nodeName(0), nodeName(1))
 			time.Sleep(15 * time.Second)
-			d.net.heal()
+			d.net.Heal()
 		}},
 		"platform is down": {faults: func(d *deployment) {
 			require.NoError(d.t, d.platform.Apply([]byte(`{"outage":"hang"}`)))
@@ -188,22 +188,22 @@
 		d.leaveNode(node)
 		return func() { d.startNode(node) }
 	case 3:
-		d.net.silence(nodeName(node))
+		d.net.Silence(nodeName(node), callerHost)
 	case 4:
-		d.net.silence(engineName(engine))
+		d.net.Silence(engineName(engine), callerHost)
 	case 5:
 		d.unsettle(node)
-		d.net.freeze(nodeName(node))
+		d.net.Freeze(nodeName(node))
 		return func() {
-			d.net.thaw(nodeName(node))
+			d.net.Thaw(nodeName(node))
 			d.settle(node)
 		}
 	case 6:
-		d.net.cut(nodeName(node), nodeName((node+1)%nodeCount))
-		return d.net.heal
+		d.net.Cut(nodeName(node), nodeName((node+1)%nodeCount))
+		return d.net.Heal
 	case 7:
-		d.net.cut(nodeName(node), engineName(engine))
-		return d.net.heal
+		d.net.Cut(nodeName(node), engineName(engine))
+		return d.net.Heal
 	case 8:
 		modes := []string{`{"outage":"hang"}`, `{"outage":"unavailable"}`, `{"lose_share":0.5}`, `{"delay_ms":800}`}
 		d.breakPlatform(modes[random.IntN(len(modes))])
--- a/emul/system/network_test.go
+++ b/internal/netem/fabric.go
@@ -1,4 +1,4 @@
-package system
+package netem
 
 import (
 	"context"
@@ -6,15 +6,17 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// network connects hosts in memory. Writes never block: what a cut or silent
+// Fabric connects hosts by byte streams in memory, for tests of whole daemons;
+// Network delivers whole messages. Writes never block: what a cut or silent
 // connection does not deliver is lost, as if a device between the two ends had
 // lost track of the connection.
-type network struct {
+type Fabric struct {
 	latency time.Duration
 
 	mu        sync.Mutex
@@ -26,57 +28,64 @@
 	conns     map[*conn]struct{}
 }
 
-func newNetwork(latency time.Duration) *network {
-	return &network{
+// NewFabric returns a fabric that delivers data after a one-way latency.
+func NewFabric(latency time.Duration) *Fabric {
+	return &Fabric{
 		latency: latency, listeners: map[string]*listener{}, hostOf: map[string]string{},
 		cuts: map[[2]string]bool{}, dead: map[string]bool{}, frozen: map[string]chan struct{}{},
 		conns: map[*conn]struct{}{},
 	}
 }
 
-// host is the network as one host sees it. It implements daemon.Network.
-type host struct {
-	*network
-	name string
+// Host is the fabric as one host sees it.
+type Host struct {
+	fabric *Fabric
+	name   string
 }
 
-func (h host) Listen(_ context.Context, address string) (net.Listener, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// Host returns the access of a host to the fabric.
+func (n *Fabric) Host(name string) Host { return Host{n, name} }
+
+// Listen opens a port of the host.
+func (h Host) Listen(_ context.Context, address string) (net.Listener, error) {
+	h.fabric.mu.Lock()
+	defer h.fabric.mu.Unlock()
 	l := &listener{address: address, conns: make(chan net.Conn, 1024), closed: make(chan struct{})}
-	h.listeners[address], h.hostOf[address] = l, h.name
+	h.fabric.listeners[address], h.fabric.hostOf[address] = l, h.name
 	return l, nil
 }
 
-func (h host) Dial(ctx context.Context, address string) (net.Conn, error) {
-	wait(ctx, 2*h.latency)
-	h.mu.Lock()
-	l, to := h.listeners[address], h.hostOf[address]
+// Dial connects to a port. A cut keeps it waiting until the context ends; a port
+// that is not open refuses it.
+func (h Host) Dial(ctx context.Context, address string) (net.Conn, error) {
+	_ = sleep(ctx, 2*h.fabric.latency)
+	h.fabric.mu.Lock()
+	l, to := h.fabric.listeners[address], h.fabric.hostOf[address]
 	// The kernel of a stalled process goes on accepting connections.
-	unreachable := h.cuts[[2]string{h.name, to}] || h.cuts[[2]string{to, h.name}]
-	if unreachable && !h.dead[h.name] {
-		h.mu.Unlock()
+	unreachable := h.fabric.cuts[[2]string{h.name, to}] || h.fabric.cuts[[2]string{to, h.name}]
+	if unreachable && !h.fabric.dead[h.name] {
+		h.fabric.mu.Unlock()
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	defer h.mu.Unlock()
-	if l == nil || h.dead[to] || h.dead[h.name] || l.isClosed() {
+	defer h.fabric.mu.Unlock()
+	if l == nil || h.fabric.dead[to] || h.fabric.dead[h.name] || l.isClosed() {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
-	near, far := newConnPair(h.network, h.name, to)
-	h.conns[near], h.conns[far] = struct{}{}, struct{}{}
+	near, far := newConnPair(h.fabric, h.name, to)
+	h.fabric.conns[near], h.fabric.conns[far] = struct{}{}, struct{}{}
 	l.conns <- far
 	return near, nil
 }
 
 // DialContext has the form that http.Transport wants.
-func (h host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+func (h Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
 	return h.Dial(ctx, address)
 }
 
 // between calls fn for the connections between two hosts; an empty name means
 // any host.
-func (n *network) between(a, b string, fn func(*conn)) {
+func (n *Fabric) between(a, b string, fn func(*conn)) {
 	for c := range n.conns {
 		if (c.from == a && (b == "" || c.to == b)) || (c.to == a && (b == "" || c.from == b)) {
 			fn(c)
@@ -84,51 +93,52 @@
 	}
 }
 
-// cut silences the connections between two hosts for good and lets no new ones
-// through until heal.
-func (n *network) cut(a, b string) {
+// Cut silences the connections between two hosts for good and lets no new ones
+// through until Heal.
+func (n *Fabric) Cut(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cuts[[2]string{a, b}] = true
 	n.between(a, b, func(c *conn) { c.silence() })
 }
 
-func (n *network) heal() {
+// Heal ends all cuts. Connections that a cut silenced stay silent.
+func (n *Fabric) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.cuts)
 }
 
-// silence silences the open connections of a host, except those of callers,
-// which only callers can replace. New connections work.
-func (n *network) silence(name string) {
+// Silence silences the open connections of a host, except those to the given
+// hosts. New connections work.
+func (n *Fabric) Silence(name string, except ...string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.between(name, "", func(c *conn) {
-		if c.from != callerHost && c.to != callerHost {
+		if !slices.Contains(except, c.from) && !slices.Contains(except, c.to) {
 			c.silence()
 		}
 	})
 }
 
-// kill closes the connections and ports of a host, as the end of its process
+// Kill closes the connections and ports of a host, as the end of its process
 // does. The process itself goes on, cut off from everything.
-func (n *network) kill(name string) {
+func (n *Fabric) Kill(name string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.dead[name] = true
 	n.between(name, "", func(c *conn) { c.reset() })
 }
 
-// revive lets a new process of a killed host use the network.
-func (n *network) revive(name string) {
+// Revive lets a new process of a killed host use the network.
+func (n *Fabric) Revive(name string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.dead, name)
 }
 
-// freeze stops the delivery to and from a host; thaw delivers what waited.
-func (n *network) freeze(name string) {
+// Freeze stops the delivery to and from a host; Thaw delivers what waited.
+func (n *Fabric) Freeze(name string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.frozen[name] == nil {
@@ -136,7 +146,8 @@
 	}
 }
 
-func (n *network) thaw(name string) {
+// Thaw ends a freeze.
+func (n *Fabric) Thaw(name string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if gate := n.frozen[name]; gate != nil {
@@ -147,7 +158,7 @@
 
 // gate returns a channel that is closed when neither host is frozen any more,
 // or nil.
-func (n *network) gate(a, b string) chan struct{} {
+func (n *Fabric) gate(a, b string) chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if g := n.frozen[a]; g != nil {
@@ -156,8 +167,8 @@
 	return n.frozen[b]
 }
 
-// close ends every connection, so that no goroutine is left waiting.
-func (n *network) close() {
+// Close ends every connection, so that no goroutine is left waiting.
+func (n *Fabric) Close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.conns {
@@ -202,7 +213,7 @@
 
 // conn is one end of a connection.
 type conn struct {
-	network  *network
+	fabric   *Fabric
 	from, to string
 	peer     *conn
 
@@ -221,9 +232,9 @@
 	due  time.Time
 }
 
-func newConnPair(n *network, from, to string) (*conn, *conn) {
-	a := &conn{network: n, from: from, to: to, changed: make(chan struct{})}
-	b := &conn{network: n, from: to, to: from, changed: make(chan struct{})}
+func newConnPair(n *Fabric, from, to string) (*conn, *conn) {
+	a := &conn{fabric: n, from: from, to: to, changed: make(chan struct{})}
+	b := &conn{fabric: n, from: to, to: from, changed: make(chan struct{})}
 	a.peer, b.peer = b, a
 	return a, b
 }
@@ -235,7 +246,7 @@
 
 func (c *conn) Read(p []byte) (int, error) {
 	for {
-		gate := c.network.gate(c.from, c.to)
+		gate := c.fabric.gate(c.from, c.to)
 		c.mu.Lock()
 		n, next, err := c.take(p, gate != nil)
 		changed := c.changed
@@ -306,7 +317,7 @@
 		return
 	}
 	if len(data) > 0 {
-		c.chunks = append(c.chunks, chunk{data, time.Now().Add(c.network.latency)})
+		c.chunks = append(c.chunks, chunk{data, time.Now().Add(c.fabric.latency)})
 	}
 	if end != nil && c.ended == nil {
 		c.ended = end
@@ -338,9 +349,9 @@
 	c.signal()
 	c.mu.Unlock()
 	c.peer.deliver(nil, io.EOF)
-	c.network.mu.Lock()
-	delete(c.network.conns, c)
-	c.network.mu.Unlock()
+	c.fabric.mu.Lock()
+	delete(c.fabric.conns, c)
+	c.fabric.mu.Unlock()
 	return nil
 }
 
@@ -355,11 +366,3 @@
 func (c *conn) SetWriteDeadline(time.Time) error { return nil }
 func (c *conn) LocalAddr() net.Addr              { return addr("127.0.0.1:1") }
 func (c *conn) RemoteAddr() net.Addr             { return addr("127.0.0.1:2") }
-
-// wait sleeps for d or until the context ends.
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
