member: remember the configuration revision that members report

node list printed revision 0 for every other host, although the pages on outages and partitions tell operators to compare the revisions there.

--- a/internal/cmdset/state.go
+++ b/internal/cmdset/state.go
@@ -13,7 +13,8 @@
 
 func nodeList(s *session) error {
 	return list(s, "nodes", "NAME STATE DOMAIN REGION ADDRESS REVISION", func(n admin.Node) []any {
-		return []any{n.Name, n.State, n.FailureDomain, n.Region, n.Address, n.Revision}
+		row := []any{n.Name, n.State, n.FailureDomain, n.Region, n.Address}
+		return append(row, known(n.Revision > 0, n.Revision)...)
 	})
 }
 
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -85,22 +85,20 @@
 // Nodes implements admin.State.
 func (s state) Nodes() []admin.Node {
 	snapshot := s.members.Snapshot()
-	self := nodeView(snapshot.Self)
-	self.Revision = s.config.Revision()
-	list := []admin.Node{self}
+	list := []admin.Node{nodeView(snapshot.Self, s.config.Revision())}
 	for _, m := range snapshot.Members {
 		if m.Name != snapshot.Self.Name {
-			list = append(list, nodeView(m.Member))
+			list = append(list, nodeView(m.Member, m.Revision))
 		}
 	}
 	slices.SortFunc(list, func(a, b admin.Node) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
 
-func nodeView(m member.Member) admin.Node {
+func nodeView(m member.Member, revision uint64) admin.Node {
 	return admin.Node{
 		Name: m.Name, Address: m.Address, PeerAddress: m.PeerAddress, FailureDomain: m.FailureDomain,
-		Region: m.Region, State: string(m.State), Incarnation: m.Incarnation,
+		Region: m.Region, State: string(m.State), Incarnation: m.Incarnation, Revision: revision,
 	}
 }
 
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -47,6 +47,9 @@
 	// state is not Suspect: for a leaving member, and for a suspicion that
 	// this node does not spread. Any message from the member ends that.
 	suspected time.Time
+	// config is the highest configuration revision that it said is in force
+	// there, or zero.
+	config uint64
 }
 
 // refutable reports whether the member has had time to refute a suspicion of
@@ -126,6 +129,8 @@
 	Since time.Time `json:"since"`
 	// Suspected is when a suspicion began, or zero.
 	Suspected time.Time `json:"suspected,omitzero"`
+	// Revision is the configuration last heard to be in force there, or zero.
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // Snapshot is the state of the table for a dump.
@@ -143,7 +148,7 @@
 	defer t.mu.Unlock()
 	s := Snapshot{Self: t.self, Queued: len(t.queue), Counts: t.counts}
 	for _, r := range t.records {
-		s.Members = append(s.Members, Status{r.Member, r.since, r.suspected})
+		s.Members = append(s.Members, Status{r.Member, r.since, r.suspected, r.config})
 	}
 	slices.SortFunc(s.Members, func(a, b Status) int { return cmp.Compare(a.Name, b.Name) })
 	return s
@@ -301,8 +306,11 @@
 func (t *Table) hear(from Member, config uint64, updates []Member) {
 	t.mu.Lock()
 	t.merge(from)
-	if r := t.records[from.Name]; r != nil && r.State != Suspect {
-		r.suspected = time.Time{}
+	if r := t.records[from.Name]; r != nil {
+		r.config = max(r.config, config)
+		if r.State != Suspect {
+			r.suspected = time.Time{}
+		}
 	}
 	for _, u := range updates {
 		t.merge(u)
