usage: put processor time, heap and goroutines into the state dump

The benchmarks had three copies of the reading of the processor time, and two of a connection that counts its bytes. Operators can now compare a node's use with docs/CAPACITY.md.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -10,7 +10,6 @@
 	"net"
 	"slices"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -23,6 +22,7 @@
 	"github.com/verbenapier/verbenapier/internal/member"
 	"github.com/verbenapier/verbenapier/internal/plat"
 	"github.com/verbenapier/verbenapier/internal/sched"
+	"github.com/verbenapier/verbenapier/internal/usage"
 	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
@@ -34,14 +34,6 @@
 	return log
 }
 
-// cpuTime returns the processor time that the process has used in user and in
-// system mode.
-func cpuTime(b *testing.B) (user, system time.Duration) {
-	var r syscall.Rusage
-	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &r))
-	return time.Duration(r.Utime.Nano()), time.Duration(r.Stime.Nano())
-}
-
 // stubEngine answers each request on a loopback socket with prepared bytes, so
 // that its own processor time is small beside the client's.
 type stubEngine struct {
@@ -160,12 +152,12 @@
 		round++
 	}
 	poll()
-	user, system := cpuTime(b)
+	user, system, _ := usage.CPU()
 	bytes := stub.bytes.Load()
 	for b.Loop() {
 		poll()
 	}
-	userEnd, systemEnd := cpuTime(b)
+	userEnd, systemEnd, _ := usage.CPU()
 	// Each operation is a load interval of all engines.
 	perSecond := float64(time.Second) / float64(loadInterval) / float64(b.N*engines)
 	b.ReportMetric(float64(userEnd-user)*perSecond, "user-ns/engine-s")
@@ -205,7 +197,7 @@
 				})
 				require.NoError(b, err)
 			}
-			user, _ := cpuTime(b)
+			user, _, _ := usage.CPU()
 			size := 0
 			for b.Loop() {
 				data, err := json.Marshal(map[string]any{"requests": views, "sched": []sched.Snapshot{scheduler.Snapshot()}})
@@ -214,7 +206,7 @@
 				}
 				size = len(data)
 			}
-			userEnd, _ := cpuTime(b)
+			userEnd, _, _ := usage.CPU()
 			b.ReportMetric(float64(userEnd-user)/float64(b.N), "user-ns/op")
 			b.ReportMetric(float64(size), "dump-B")
 		})
@@ -271,11 +263,11 @@
 			}
 			c.refresh(b.Context())
 			b.ReportAllocs()
-			user, _ := cpuTime(b)
+			user, _, _ := usage.CPU()
 			for b.Loop() {
 				c.refresh(b.Context())
 			}
-			userEnd, _ := cpuTime(b)
+			userEnd, _, _ := usage.CPU()
 			b.ReportMetric(float64(userEnd-user)/float64(b.N), "user-ns/op")
 		})
 	}
@@ -288,7 +280,7 @@
 		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
 			data, err := json.Marshal(map[string]any{"hosts": hostList(engines)})
 			require.NoError(b, err)
-			user, _ := cpuTime(b)
+			user, _, _ := usage.CPU()
 			for b.Loop() {
 				var list struct {
 					Hosts []plat.Host `json:"hosts"`
@@ -297,7 +289,7 @@
 					b.Fatal(err)
 				}
 			}
-			userEnd, _ := cpuTime(b)
+			userEnd, _, _ := usage.CPU()
 			b.ReportMetric(float64(userEnd-user)/float64(b.N), "user-ns/op")
 			b.ReportMetric(float64(len(data)), "list-B")
 		})
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -15,6 +15,7 @@
 	"github.com/verbenapier/verbenapier/internal/member"
 	"github.com/verbenapier/verbenapier/internal/plat"
 	"github.com/verbenapier/verbenapier/internal/sched"
+	"github.com/verbenapier/verbenapier/internal/usage"
 	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
@@ -229,9 +230,13 @@
 // Dump implements admin.State.
 func (s state) Dump() map[string]any {
 	read, written := s.caller.Traffic()
+	used, err := usage.Read()
+	if err != nil {
+		s.log.WithError(err).WithField("event", "usage_unknown").Warn("the usage of the process is not in the dump")
+	}
 	peerRead, peerWritten := s.peers.Traffic()
 	return map[string]any{
-		"node":      map[string]any{"name": s.settings.Name, "incarnation": s.incarnation, "started": s.started},
+		"node":      map[string]any{"name": s.settings.Name, "incarnation": s.incarnation, "started": s.started, "usage": used},
 		"member":    s.members.Snapshot(),
 		"config":    map[string]any{"revision": s.config.Revision(), "platform_calls": s.config.Calls()},
 		"hosts":     s.hosts.All(),
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -15,7 +15,6 @@
 	"runtime"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -26,7 +25,9 @@
 	"github.com/verbenapier/verbenapier/internal/certs"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/engine"
+	"github.com/verbenapier/verbenapier/internal/netem"
 	"github.com/verbenapier/verbenapier/internal/sched"
+	process "github.com/verbenapier/verbenapier/internal/usage"
 	"github.com/verbenapier/verbenapier/internal/wire"
 	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/group"
@@ -35,21 +36,13 @@
 // benchPiece is the text of one token.
 const benchPiece = "four"
 
-// cpuTime returns the processor time that the process has used in user and in
-// system mode.
-func cpuTime(b *testing.B) (user, system time.Duration) {
-	var r syscall.Rusage
-	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &r))
-	return time.Duration(r.Utime.Nano()), time.Duration(r.Stime.Nano())
-}
-
 // measureCPU runs the loop and reports processor time per operation.
 func measureCPU(b *testing.B, op func()) {
-	user, system := cpuTime(b)
+	user, system, _ := process.CPU()
 	for b.Loop() {
 		op()
 	}
-	userEnd, systemEnd := cpuTime(b)
+	userEnd, systemEnd, _ := process.CPU()
 	b.ReportMetric(float64(userEnd-user)/float64(b.N), "user-ns/op")
 	b.ReportMetric(float64(systemEnd-system)/float64(b.N), "sys-ns/op")
 }
@@ -315,24 +308,6 @@
 	return c.client.Call(ctx, c.address, "sched.renew", r, &result)
 }
 
-// countedConn counts the bytes on the socket, after encryption.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // newScheduler returns a scheduler of 64 engines on which the grants fit.
 func newScheduler(b *testing.B) *sched.Scheduler {
 	log := logrus.New()
@@ -394,7 +369,7 @@
 	})
 	dial := dialer.Secure(func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := dialer.TCP(ctx, address)
-		return countedConn{conn, bytes}, err
+		return netem.CountedConn{Conn: conn, Bytes: bytes}, err
 	}, config)
 	return wire.NewClient(g, dial), listener.Addr().String()
 }
--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -9,7 +9,6 @@
 	"runtime"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -18,6 +17,7 @@
 
 	"github.com/verbenapier/verbenapier/internal/certs"
 	"github.com/verbenapier/verbenapier/internal/dialer"
+	"github.com/verbenapier/verbenapier/internal/usage"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
@@ -82,23 +82,15 @@
 	return l
 }
 
-// cpuTime returns the processor time that the process has used in user and in
-// system mode.
-func cpuTime(b *testing.B) (user, system time.Duration) {
-	var r syscall.Rusage
-	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &r))
-	return time.Duration(r.Utime.Nano()), time.Duration(r.Stime.Nano())
-}
-
 // measure runs the loop and reports processor time and bytes on the socket per
 // operation.
 func (l *loopback) measure(b *testing.B, op func()) {
-	user, system := cpuTime(b)
+	user, system, _ := usage.CPU()
 	bytes := l.bytes.Load()
 	for b.Loop() {
 		op()
 	}
-	userEnd, systemEnd := cpuTime(b)
+	userEnd, systemEnd, _ := usage.CPU()
 	b.ReportMetric(float64(userEnd-user)/float64(b.N), "user-ns/op")
 	b.ReportMetric(float64(systemEnd-system)/float64(b.N), "sys-ns/op")
 	b.ReportMetric(float64(l.bytes.Load()-bytes)/float64(b.N), "socket-B/op")
