entry: test a caller that stops reading

The request is given up after the write timeout and its stream canceled; without the write deadline the test fails with the request still in flight.

--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -197,3 +198,50 @@
 		require.True(t, s.buffered.TryAcquire(s.options.Limits.MaxBuffered))
 	})
 }
+
+// oneConn is a listener with a single connection.
+type oneConn struct{ conns chan net.Conn }
+
+func (l oneConn) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (l oneConn) Close() error   { return nil }
+func (l oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against a caller that stops reading and keeps its request, its stream
+// and the engine's memory. A pipe has no buffer, so the first unread event
+// blocks the writer.
+func TestCallerThatStopsReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1, 0)
+		g := group.New(t.Context())
+		s := newServer(g, f, testDocument())
+		near, far := net.Pipe()
+		listener := oneConn{make(chan net.Conn, 1)}
+		listener.conns <- far
+		server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+		g.Go("server", func(context.Context) error {
+			_ = server.Serve(listener)
+			return nil
+		})
+		body := `{"model":"m","prompt":"p","max_tokens":500,"stream":true}`
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://node/v1/completions", strings.NewReader(body))
+		require.NoError(t, err)
+		r.Header.Set("Authorization", "Bearer "+testKey)
+		require.NoError(t, r.Write(near))
+		time.Sleep(fakePrefill + s.options.Limits.WriteTimeout/2)
+		require.EqualValues(t, 1, s.InFlight())
+		time.Sleep(s.options.Limits.WriteTimeout)
+		synctest.Wait()
+		require.Zero(t, s.InFlight(), "the request is given up after the write timeout")
+		require.Zero(t, f.held(), "the stream is canceled")
+		require.NoError(t, near.Close())
+		close(listener.conns)
+		require.NoError(t, server.Close())
+		require.NoError(t, g.Wait())
+	})
+}
