--- a/internal/claims/capacity_test.go
+++ b/internal/claims/capacity_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/netem"
 	"github.com/verbenapier/verbenapier/internal/plat"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 	"github.com/verbenapier/verbenapier/pkg/group"
@@ -63,7 +64,7 @@
 				Run: fault.RunYes, Status: 200, ContentType: "application/json", Body: make([]byte, 64),
 			})
 		})
-		time.Sleep(time.Duration(-math.Log(1-f.dice.float()) / perSecond * float64(time.Second)))
+		time.Sleep(time.Duration(-math.Log(1-f.dice.Float()) / perSecond * float64(time.Second)))
 	}
 	require.NoError(t, g.Wait())
 	return calls
@@ -78,7 +79,7 @@
 		for _, rate := range rates {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, 1, 0, nil)
-				log := soloLog(f.store, Options{Rand: f.dice.float, SegmentSize: segment, WritesPerSecond: 1000})
+				log := soloLog(f.store, Options{Rand: f.dice.Float, SegmentSize: segment, WritesPerSecond: 1000})
 				ctx, cancel := context.WithCancel(t.Context())
 				done := group.New(ctx)
 				done.Go("log", log.Run)
@@ -125,12 +126,12 @@
 func (m *memoryStore) List(context.Context, string) ([]plat.Entry, error) { return nil, nil }
 
 // claimItems returns queued claims of new keys.
-func claimItems(ctx context.Context, f *dice, n int) []*item {
+func claimItems(ctx context.Context, f *netem.Dice, n int) []*item {
 	items := make([]*item, n)
 	for i := range items {
 		id := make([]byte, 16)
 		for j := range id {
-			id[j] = byte(f.below(256))
+			id[j] = byte(f.Below(256))
 		}
 		items[i] = &item{ctx: ctx, result: make(chan answer, 1), acquire: &AcquireParams{
 			Service: "desk", ID: id, Time: time.Now().UnixMilli(), Digest: id, WindowMS: millis(time.Hour),
@@ -154,7 +155,7 @@
 	defer cancel()
 	log := soloLog(&memoryStore{entries: map[string]plat.Entry{}}, Options{WritesPerSecond: 1e9, SegmentSize: segment})
 	s := newShard(log, "desk", 0)
-	d := newDice(1)
+	d := netem.NewDice(1)
 	claims := 0
 	for b.Loop() {
 		b.StopTimer()
@@ -176,7 +177,7 @@
 				store := &memoryStore{entries: map[string]plat.Entry{}}
 				log := soloLog(store, Options{WritesPerSecond: 1e9})
 				s := newShard(log, "desk", 0)
-				d := newDice(1)
+				d := netem.NewDice(1)
 				before := heap()
 				for range size / 100 {
 					s.flush(ctx, claimItems(ctx, d, 100))
--- a/internal/claims/fake_test.go
+++ b/internal/claims/fake_test.go
@@ -3,40 +3,20 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sort"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/netem"
 	"github.com/verbenapier/verbenapier/internal/plat"
 	"github.com/verbenapier/verbenapier/internal/wire"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
-// dice is a random source that several goroutines may use.
-type dice struct {
-	mu   sync.Mutex
-	rand *rand.Rand
-}
-
-func newDice(seed uint64) *dice { return &dice{rand: rand.New(rand.NewPCG(seed, seed))} }
-
-func (d *dice) float() float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.rand.Float64()
-}
-
-func (d *dice) below(n int) int { return int(d.float() * float64(n)) }
-
-func (d *dice) duration(limit time.Duration) time.Duration {
-	return time.Duration(d.float() * float64(limit))
-}
-
 // fakeStore is a linearizable store with faults.
 type fakeStore struct {
-	dice *dice
+	dice *netem.Dice
 
 	mu       sync.Mutex
 	entries  map[string]plat.Entry
@@ -50,7 +30,7 @@
 	delay time.Duration
 }
 
-func newFakeStore(d *dice) *fakeStore {
+func newFakeStore(d *netem.Dice) *fakeStore {
 	return &fakeStore{dice: d, entries: map[string]plat.Entry{}, delay: 4 * time.Millisecond}
 }
 
@@ -64,7 +44,7 @@
 	f.mu.Lock()
 	delay := f.delay
 	f.mu.Unlock()
-	pause(ctx, f.dice.duration(delay))
+	pause(ctx, f.dice.Duration(delay))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down || ctx.Err() != nil {
@@ -129,10 +109,10 @@
 	f.mu.Lock()
 	lost := f.lost
 	f.mu.Unlock()
-	if roll := f.dice.float(); roll < lost {
+	if roll := f.dice.Float(); roll < lost {
 		switch {
 		case roll < lost/3:
-			time.AfterFunc(f.dice.duration(5*time.Second), func() { _, _ = f.apply(key, value, base, remove) })
+			time.AfterFunc(f.dice.Duration(5*time.Second), func() { _, _ = f.apply(key, value, base, remove) })
 		case roll < 2*lost/3:
 			_, _ = f.apply(key, value, base, remove)
 		}
@@ -162,7 +142,7 @@
 // fakeNet delivers calls between nodes; a call to a missing address is
 // Unreachable, and a share of replies is lost.
 type fakeNet struct {
-	dice *dice
+	dice *netem.Dice
 
 	mu    sync.Mutex
 	muxes map[string]*wire.Mux
@@ -181,7 +161,7 @@
 	mux, lost := n.muxes[address], n.lost
 	n.calls++
 	n.mu.Unlock()
-	pause(ctx, n.dice.duration(2*time.Millisecond))
+	pause(ctx, n.dice.Duration(2*time.Millisecond))
 	if mux == nil {
 		return fault.New(fault.Unreachable, "no node at %s", address)
 	}
@@ -190,7 +170,7 @@
 		return err
 	}
 	reply, err := mux.Serve(ctx, p.node, method, raw)
-	if n.dice.float() < lost || ctx.Err() != nil {
+	if n.dice.Float() < lost || ctx.Err() != nil {
 		return fault.New(fault.ReplyLost, "connection lost")
 	}
 	if err != nil {
--- a/internal/claims/random_test.go
+++ b/internal/claims/random_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/netem"
 	"github.com/verbenapier/verbenapier/internal/plat"
 	"github.com/verbenapier/verbenapier/internal/wire"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -83,7 +84,7 @@
 // was run, by whom, and what its callers were told.
 type fleet struct {
 	t     *testing.T
-	dice  *dice
+	dice  *netem.Dice
 	store *fakeStore
 	net   *fakeNet
 	make  func(f *fleet, n *node) claimer
@@ -99,7 +100,7 @@
 const window = time.Minute
 
 func newFleet(t *testing.T, seed uint64, size int, mk func(f *fleet, n *node) claimer) *fleet {
-	d := newDice(seed)
+	d := netem.NewDice(seed)
 	f := &fleet{
 		t: t, dice: d, store: newFakeStore(d), net: &fakeNet{dice: d, muxes: map[string]*wire.Mux{}},
 		make: mk, start: time.Now(), runs: map[string]int{}, verdicts: map[string]int{},
@@ -134,7 +135,7 @@
 	logger.SetLevel(logrus.PanicLevel)
 	log := New(Options{
 		Store: gatedStore{f.store, n}, Caller: gatedCaller{port{f.net, n.name}, n}, Owner: f.owner(n),
-		Node: n.name, Incarnation: n.incarnation, Rand: f.dice.float, Logger: logger,
+		Node: n.name, Incarnation: n.incarnation, Rand: f.dice.Float, Logger: logger,
 		Shards: 2, SegmentSize: 2 << 10, ClockSkew: 5 * time.Second, CollectInterval: 7 * time.Second,
 		WritesPerSecond: 100,
 	})
@@ -153,8 +154,8 @@
 		h := fnv.New32()
 		_, _ = fmt.Fprint(h, service, shard, int(time.Since(f.start)/(2*time.Second))/5)
 		pick := int(h.Sum32())
-		if f.dice.below(10) == 0 {
-			pick = f.dice.below(len(f.nodes))
+		if f.dice.Below(10) == 0 {
+			pick = f.dice.Below(len(f.nodes))
 		}
 		name := f.nodes[pick%len(f.nodes)].name
 		return member.Member{Name: name, PeerAddress: name}, true
@@ -170,7 +171,7 @@
 func (f *fleet) key() string {
 	id := uuid.UUID{}
 	for i := range id {
-		id[i] = byte(f.dice.below(256))
+		id[i] = byte(f.dice.Below(256))
 	}
 	now := time.Now().UnixMilli()
 	for i := range 6 {
@@ -186,7 +187,7 @@
 	n.mu.Lock()
 	log, incarnation := n.log, n.incarnation
 	n.mu.Unlock()
-	limit := time.Second + f.dice.duration(5*time.Second)
+	limit := time.Second + f.dice.Duration(5*time.Second)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(f.t.Context()), limit)
 	defer cancel()
 	decision, err := log.Acquire(ctx, Call{
@@ -197,15 +198,15 @@
 	if err != nil || decision.Verdict != Run {
 		return decision, err
 	}
-	if f.dice.below(20) == 0 {
-		time.Sleep(f.dice.duration(8 * time.Second)) // paused between claim and dispatch
+	if f.dice.Below(20) == 0 {
+		time.Sleep(f.dice.Duration(8 * time.Second)) // paused between claim and dispatch
 	}
 	outcome := Outcome{Run: fault.RunNo}
 	if ctx.Err() == nil {
 		f.run(key)
 		outcome = Outcome{Run: fault.RunYes, Status: 200, Body: []byte(key)}
 	}
-	pause(ctx, f.dice.duration(200*time.Millisecond))
+	pause(ctx, f.dice.Duration(200*time.Millisecond))
 	n.mu.Lock()
 	dead := n.incarnation != incarnation
 	n.mu.Unlock()
@@ -251,28 +252,28 @@
 // faults disturbs the fleet until the end.
 func (f *fleet) faults(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, f.dice.duration(4*time.Second))
-		n := f.nodes[f.dice.below(len(f.nodes))]
-		switch f.dice.below(5) {
+		pause(ctx, f.dice.Duration(4*time.Second))
+		n := f.nodes[f.dice.Below(len(f.nodes))]
+		switch f.dice.Below(5) {
 		case 0:
 			f.store.set(true, 0, 4*time.Millisecond)
-			pause(ctx, f.dice.duration(6*time.Second))
+			pause(ctx, f.dice.Duration(6*time.Second))
 		case 1:
 			f.store.set(false, 0, 3*time.Second)
-			pause(ctx, f.dice.duration(3*time.Second))
+			pause(ctx, f.dice.Duration(3*time.Second))
 		case 2:
 			f.store.set(false, 0.5, 4*time.Millisecond)
-			pause(ctx, f.dice.duration(4*time.Second))
+			pause(ctx, f.dice.Duration(4*time.Second))
 		case 3:
 			f.kill(n)
-			pause(ctx, f.dice.duration(2*time.Second))
+			pause(ctx, f.dice.Duration(2*time.Second))
 			f.boot(n)
 		case 4:
 			n.mu.Lock()
 			n.resume = make(chan struct{})
 			resume := n.resume
 			n.mu.Unlock()
-			pause(ctx, f.dice.duration(15*time.Second))
+			pause(ctx, f.dice.Duration(15*time.Second))
 			close(resume)
 		}
 		f.store.set(false, 0.01, 4*time.Millisecond)
@@ -285,16 +286,16 @@
 // the window and sometimes with another body.
 func (f *fleet) caller(ctx context.Context, g *group.Group) {
 	key := f.key()
-	for range 1 + f.dice.below(4) {
-		n := f.nodes[f.dice.below(len(f.nodes))]
+	for range 1 + f.dice.Below(4) {
+		n := f.nodes[f.dice.Below(len(f.nodes))]
 		body := byte(0)
-		if f.dice.below(20) == 0 {
+		if f.dice.Below(20) == 0 {
 			body = 1
 		}
 		g.Go("send", func(context.Context) error { _, _ = f.send(n, key, body); return nil })
-		wait := f.dice.duration(2 * time.Second)
-		if f.dice.below(10) == 0 {
-			wait = f.dice.duration(2 * window)
+		wait := f.dice.Duration(2 * time.Second)
+		if f.dice.Below(10) == 0 {
+			wait = f.dice.Duration(2 * window)
 		}
 		pause(ctx, wait)
 	}
@@ -309,7 +310,7 @@
 	f.net.lost = 0.02
 	for ctx.Err() == nil {
 		g.Go("caller", func(context.Context) error { f.caller(ctx, g); return nil })
-		pause(ctx, f.dice.duration(200*time.Millisecond))
+		pause(ctx, f.dice.Duration(200*time.Millisecond))
 	}
 	require.NoError(f.t, g.Wait())
 	f.net.lost = 0
@@ -387,11 +388,11 @@
 				f.disturbed(10 * time.Minute)
 				for range 40 { // the fleet must work again after the faults
 					key := f.key()
-					d, err := f.send(f.nodes[f.dice.below(6)], key, 0)
+					d, err := f.send(f.nodes[f.dice.Below(6)], key, 0)
 					if err != nil || d.Verdict != Run {
 						f.violate("after the faults, first send: %v, %v", d.Verdict, err)
 					}
-					d, err = f.send(f.nodes[f.dice.below(6)], key, 0)
+					d, err = f.send(f.nodes[f.dice.Below(6)], key, 0)
 					if err != nil || d.Verdict != Recorded {
 						f.violate("after the faults, resend: %v, %v", d.Verdict, err)
 					}
--- a/internal/netem/counted.go
+++ b/internal/dialer/counted.go
@@ -1,4 +1,4 @@
-package netem
+package dialer
 
 import (
 	"net"
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -25,7 +25,6 @@
 	"github.com/verbenapier/verbenapier/internal/certs"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/engine"
-	"github.com/verbenapier/verbenapier/internal/netem"
 	"github.com/verbenapier/verbenapier/internal/sched"
 	process "github.com/verbenapier/verbenapier/internal/usage"
 	"github.com/verbenapier/verbenapier/internal/wire"
@@ -369,7 +368,7 @@
 	})
 	dial := dialer.Secure(func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := dialer.TCP(ctx, address)
-		return netem.CountedConn{Conn: conn, Bytes: bytes}, err
+		return dialer.CountedConn{Conn: conn, Bytes: bytes}, err
 	}, config)
 	return wire.NewClient(g, dial), listener.Addr().String()
 }
--- a/internal/poison/capacity_test.go
+++ b/internal/poison/capacity_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/netem"
 	"github.com/verbenapier/verbenapier/internal/plat"
 	"github.com/verbenapier/verbenapier/internal/wire"
 	"github.com/verbenapier/verbenapier/pkg/group"
@@ -114,7 +115,7 @@
 }
 
 func measureFleet(t *testing.T, size int) {
-	d := newDice(1)
+	d := netem.NewDice(1)
 	store, network, count := newFakeStore(d), &fakeNet{dice: d, muxes: map[string]*wire.Mux{}}, &counter{}
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
@@ -128,7 +129,7 @@
 		name := members[i].Name
 		nodes[i] = New(Options{
 			Store: countedStore{store, count}, Caller: countedCaller{port{network, name}, count}, Node: name,
-			Rand: d.float, Logger: log, Peers: func() []member.Member { return members },
+			Rand: d.Float, Logger: log, Peers: func() []member.Member { return members },
 		})
 		network.muxes[name] = wire.NewMux()
 		nodes[i].Register(network.muxes[name])
--- a/internal/poison/fake_test.go
+++ b/internal/poison/fake_test.go
@@ -3,39 +3,19 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/netem"
 	"github.com/verbenapier/verbenapier/internal/plat"
 	"github.com/verbenapier/verbenapier/internal/wire"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
-// dice is a random source that several goroutines may use.
-type dice struct {
-	mu   sync.Mutex
-	rand *rand.Rand
-}
-
-func newDice(seed uint64) *dice { return &dice{rand: rand.New(rand.NewPCG(seed, seed))} }
-
-func (d *dice) float() float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.rand.Float64()
-}
-
-func (d *dice) below(n int) int { return int(d.float() * float64(n)) }
-
-func (d *dice) duration(limit time.Duration) time.Duration {
-	return time.Duration(d.float() * float64(limit))
-}
-
 // fakeStore is a linearizable store with outages and lost replies.
 type fakeStore struct {
-	dice *dice
+	dice *netem.Dice
 
 	mu       sync.Mutex
 	entries  map[string]plat.Entry
@@ -44,7 +24,9 @@
 	lost     float64
 }
 
-func newFakeStore(d *dice) *fakeStore { return &fakeStore{dice: d, entries: map[string]plat.Entry{}} }
+func newFakeStore(d *netem.Dice) *fakeStore {
+	return &fakeStore{dice: d, entries: map[string]plat.Entry{}}
+}
 
 func (f *fakeStore) set(down bool, lost float64) {
 	f.mu.Lock()
@@ -53,7 +35,7 @@
 }
 
 func (f *fakeStore) travel(ctx context.Context) error {
-	pause(ctx, f.dice.duration(4*time.Millisecond))
+	pause(ctx, f.dice.Duration(4*time.Millisecond))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down || ctx.Err() != nil {
@@ -96,7 +78,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	roll := f.dice.float()
+	roll := f.dice.Float()
 	if roll < f.lost/2 {
 		return 0, fault.New(fault.ReplyLost, "lost before the effect")
 	}
@@ -133,7 +115,7 @@
 
 // fakeNet delivers calls between nodes that are not cut off.
 type fakeNet struct {
-	dice *dice
+	dice *netem.Dice
 
 	mu    sync.Mutex
 	muxes map[string]*wire.Mux
@@ -151,12 +133,12 @@
 	mux, cut := n.muxes[address], n.cut
 	n.mu.Unlock()
 	if mux == nil || cut == address || cut == p.node {
-		if n.dice.below(4) == 0 {
+		if n.dice.Below(4) == 0 {
 			<-ctx.Done()
 		}
 		return fault.New(fault.Unreachable, "no connection")
 	}
-	pause(ctx, n.dice.duration(2*time.Millisecond))
+	pause(ctx, n.dice.Duration(2*time.Millisecond))
 	raw, err := json.Marshal(params)
 	if err != nil {
 		return err
--- a/internal/poison/random_test.go
+++ b/internal/poison/random_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/netem"
 	"github.com/verbenapier/verbenapier/internal/wire"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 	"github.com/verbenapier/verbenapier/pkg/group"
@@ -48,7 +49,7 @@
 // the schedulers of several cells.
 type fleet struct {
 	t       *testing.T
-	dice    *dice
+	dice    *netem.Dice
 	store   *fakeStore
 	net     *fakeNet
 	nodes   []keeper
@@ -69,7 +70,7 @@
 const quarantineTime = time.Hour
 
 func newFleet(t *testing.T, seed uint64, size, engines int, mk func(f *fleet, node int) keeper) *fleet {
-	d := newDice(seed)
+	d := netem.NewDice(seed)
 	f := &fleet{
 		t: t, dice: d, store: newFakeStore(d), net: &fakeNet{dice: d, muxes: map[string]*wire.Mux{}},
 		group: group.New(context.WithoutCancel(t.Context())), pins: map[Fingerprint]int{},
@@ -91,7 +92,7 @@
 	logger := logrus.New()
 	logger.SetLevel(logrus.PanicLevel)
 	r := New(Options{
-		Store: f.store, Caller: port{f.net, name}, Node: name, Rand: f.dice.float, Logger: logger,
+		Store: f.store, Caller: port{f.net, name}, Node: name, Rand: f.dice.Float, Logger: logger,
 		ClockSkew: time.Second, Peers: func() []member.Member {
 			f.net.mu.Lock()
 			defer f.net.mu.Unlock()
@@ -116,7 +117,7 @@
 	defer f.mu.Unlock()
 	e := f.pinned[m.Fingerprint]
 	if e == nil || m.Alone {
-		e = f.engines[f.dice.below(len(f.engines))]
+		e = f.engines[f.dice.Below(len(f.engines))]
 	}
 	if e.dead || e.exclusive || (m.Alone && len(e.streams) > 0) {
 		return nil, nil
@@ -141,7 +142,7 @@
 	select {
 	case <-s.ended:
 		return true
-	case <-time.After(50*time.Millisecond + f.dice.duration(500*time.Millisecond)):
+	case <-time.After(50*time.Millisecond + f.dice.Duration(500*time.Millisecond)):
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -181,7 +182,7 @@
 	f.dispatches++
 	dispatch := fmt.Sprint("dispatch-", f.dispatches)
 	f.mu.Unlock()
-	for ; ctx.Err() == nil; pause(ctx, f.dice.duration(200*time.Millisecond)) {
+	for ; ctx.Err() == nil; pause(ctx, f.dice.Duration(200*time.Millisecond)) {
 		v, err := keeper.Check(ctx, p)
 		if err == nil && v.State == Alone && !v.Wait {
 			v, err = keeper.Reserve(ctx, p, dispatch)
@@ -229,19 +230,19 @@
 // faults lets one fault at a time happen until the context ends.
 func (f *fleet) faults(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, f.dice.duration(10*time.Second))
-		switch f.dice.below(3) {
+		pause(ctx, f.dice.Duration(10*time.Second))
+		switch f.dice.Below(3) {
 		case 0:
 			f.store.set(true, 0)
-			pause(ctx, f.dice.duration(15*time.Second))
+			pause(ctx, f.dice.Duration(15*time.Second))
 		case 1:
 			f.store.set(false, 0.5)
-			pause(ctx, f.dice.duration(10*time.Second))
+			pause(ctx, f.dice.Duration(10*time.Second))
 		case 2:
 			f.net.mu.Lock()
-			f.net.cut = fmt.Sprint("node-", f.dice.below(len(f.nodes)))
+			f.net.cut = fmt.Sprint("node-", f.dice.Below(len(f.nodes)))
 			f.net.mu.Unlock()
-			pause(ctx, f.dice.duration(15*time.Second))
+			pause(ctx, f.dice.Duration(15*time.Second))
 			f.net.mu.Lock()
 			f.net.cut = ""
 			f.net.mu.Unlock()
@@ -263,14 +264,14 @@
 	unfinished := 0
 	for i := 0; ctx.Err() == nil; i++ {
 		p := NewFingerprint("organisation", "model", fmt.Sprint("prompt ", i))
-		killer := f.dice.below(100) == 0
+		killer := f.dice.Below(100) == 0
 		f.mu.Lock()
 		f.killers[p] = killer
 		f.mu.Unlock()
-		for range 1 + f.dice.below(2) { // the same prompt from two callers
+		for range 1 + f.dice.Below(2) { // the same prompt from two callers
 			g.Go("caller", func(context.Context) error {
 				for range 20 {
-					if f.request(f.dice.below(len(f.nodes)), p) {
+					if f.request(f.dice.Below(len(f.nodes)), p) {
 						return nil
 					}
 				}
@@ -282,7 +283,7 @@
 				return nil
 			})
 		}
-		pause(ctx, f.dice.duration(100*time.Millisecond))
+		pause(ctx, f.dice.Duration(100*time.Millisecond))
 	}
 	require.NoError(f.t, g.Wait())
 	f.group.Stop()
--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -21,24 +21,6 @@
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
-// countedConn counts the bytes on the socket, after encryption.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // loopback is a server that answers "echo" over mutual TLS on a loopback
 // socket, and a dialer to it.
 type loopback struct {
@@ -69,7 +51,7 @@
 	l := &loopback{address: listener.Addr().String(), group: group.New(b.Context())}
 	l.dial = dialer.Secure(func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := dialer.TCP(ctx, address)
-		return countedConn{conn, &l.bytes}, err
+		return dialer.CountedConn{Conn: conn, Bytes: &l.bytes}, err
 	}, config)
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
