member, wire, params: join by address, names without TLS, gateway settings

A deployment whose host list names no entry hosts gives addresses of some nodes only. A joining node pushes without a receiver's name; peers without TLS name themselves beside each call, since no certificate does. The settings of the gateway share the table loader with the daemon's.

TestSeeds joins through one live seed of three with the platform down.

--- a/internal/member/messages.go
+++ b/internal/member/messages.go
@@ -38,6 +38,7 @@
 // Push carries updates that must not wait for a ping. With a digest it asks
 // for an exchange of the full state.
 type Push struct {
+	// To is the name of the member meant, or empty from a node that joins.
 	To     string `json:"to"`
 	Self   Member `json:"self"`
 	Config uint64 `json:"config,omitempty"`
--- a/internal/member/options.go
+++ b/internal/member/options.go
@@ -20,6 +20,9 @@
 	Log    logrus.FieldLogger
 	// Hosts gives the first peers; nil when the peers find this node.
 	Hosts plat.HostLister
+	// Seeds are peer addresses of nodes to join, for deployments whose host
+	// list names no entry hosts. They may be out of date.
+	Seeds []string
 	// Check is called with each change of a member's state as this node sees
 	// it; nil for none. It must not block or call the table.
 	Check func(before, after Member)
@@ -95,6 +98,9 @@
 	maxRounds     = 12
 	buckets       = 32
 
+	// seedsTime is how often seeds are asked while no other member is known.
+	seedsTime = 500 * time.Millisecond
+
 	hostsTime     = 30 * time.Second
 	hostsRetryMin = 500 * time.Millisecond
 	hostsRetryMax = 15 * time.Second
--- a/internal/member/serve.go
+++ b/internal/member/serve.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"context"
 
 	"github.com/verbenapier/verbenapier/internal/wire"
@@ -21,6 +22,9 @@
 	g.Go("member probe", t.probeLoop)
 	g.Go("member push", t.pushLoop)
 	g.Go("member exchange", t.exchangeLoop)
+	if len(t.addresses) > 0 {
+		g.Go("member seeds", t.seedsLoop)
+	}
 	if t.lister != nil {
 		g.Go("member hosts", t.hostsLoop)
 	}
@@ -86,7 +90,9 @@
 // servePush takes updates. Unlike a ping it also accepts a sender that this
 // node knows as dead, and tells it, so that the sender can refute.
 func (t *Table) servePush(_ context.Context, from string, p Push) (PushReply, error) {
-	if err := t.admit(p.To, from, p.Self); err != nil {
+	// A node that joins knows only the address.
+	to := cmp.Or(p.To, t.Self().Name)
+	if err := t.admit(to, from, p.Self); err != nil {
 		return PushReply{}, err
 	}
 	if len(p.Updates) > maxExchange {
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -16,12 +16,14 @@
 
 // Table is this node's view of the membership.
 type Table struct {
-	caller  wire.Caller
-	log     logrus.FieldLogger
-	lister  plat.HostLister
-	check   func(before, after Member)
-	without Mechanism
-	urgent  chan struct{}
+	caller wire.Caller
+	log    logrus.FieldLogger
+	lister plat.HostLister
+	// addresses are those of the seeds, without this node's own.
+	addresses []string
+	check     func(before, after Member)
+	without   Mechanism
+	urgent    chan struct{}
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -74,19 +76,20 @@
 		o.Self.State = Alive
 	}
 	return &Table{
-		caller:  o.Caller,
-		log:     o.Log,
-		lister:  o.Hosts,
-		check:   o.Check,
-		without: o.Without,
-		urgent:  make(chan struct{}, 1),
-		random:  o.Random,
-		self:    o.Self,
-		records: map[string]*record{},
-		seeds:   map[string]string{},
-		queue:   queue{},
-		pushes:  map[string]Member{},
-		changed: make(chan struct{}),
+		caller:    o.Caller,
+		log:       o.Log,
+		lister:    o.Hosts,
+		addresses: slices.DeleteFunc(slices.Clone(o.Seeds), func(a string) bool { return a == o.Self.PeerAddress }),
+		check:     o.Check,
+		without:   o.Without,
+		urgent:    make(chan struct{}, 1),
+		random:    o.Random,
+		self:      o.Self,
+		records:   map[string]*record{},
+		seeds:     map[string]string{},
+		queue:     queue{},
+		pushes:    map[string]Member{},
+		changed:   make(chan struct{}),
 	}
 }
 
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -26,6 +26,7 @@
 	ends    map[string]*netem.Endpoint
 	group   *group.Group
 	without Mechanism
+	seeds   []string
 }
 
 func name(i int) string { return fmt.Sprintf("node-%03d", i) }
@@ -62,7 +63,7 @@
 			FailureDomain: fmt.Sprintf("domain-%d", i%9), Region: fmt.Sprintf("region-%d", i%3), Incarnation: incarnation,
 		},
 		Caller: end, Random: rand.New(rand.NewPCG(uint64(i), 7)), Log: log,
-		Hosts: c.store.Client(end), Without: c.without,
+		Hosts: c.store.Client(end), Seeds: c.seeds, Without: c.without,
 	})
 	table.Register(mux)
 	c.tables[name(i)], c.ends[name(i)] = table, end
@@ -260,3 +261,20 @@
 		})
 	}
 }
+
+// Guards against a node that knows only addresses, some of them dead, and does
+// not find the others.
+func TestSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, 0)
+		defer c.stop()
+		time.Sleep(5 * time.Second)
+		c.store.SetMode(netem.Down)
+		c.seeds = []string{"gone:1", name(1) + ":1", name(3) + ":1"}
+		c.start(3, 0)
+		time.Sleep(3 * time.Second)
+		for i := range 4 {
+			require.Equal(t, 4, c.see(i, Alive), "members that %s sees", name(i))
+		}
+	})
+}
--- /dev/null
+++ b/internal/params/gateway.go
@@ -0,0 +1,95 @@
+package params
+
+import (
+	"time"
+
+	"github.com/verbenapier/verbenapier/pkg/confd/strict"
+)
+
+// Gateway holds the settings of verbenapier-gateway.
+type Gateway struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	Region        string `json:"region"`
+	// Listen is the address for callers, ReadyListen for readiness checks,
+	// PeerListen for other gateways, DirectoryListen for callers that ask for
+	// addresses, and MetricsListen for metrics and the state dump.
+	Listen          string `json:"listen"`
+	ReadyListen     string `json:"ready_listen"`
+	PeerListen      string `json:"peer_listen"`
+	DirectoryListen string `json:"directory_listen"`
+	MetricsListen   string `json:"metrics_listen"`
+	// Seeds are peer addresses of gateways to join. They may be out of date.
+	Seeds []string `json:"seeds"`
+	// Store is the address of the platform's metadata store.
+	Store string `json:"store"`
+	// MemoryLimit is the memory of the host's process in MiB.
+	MemoryLimit int `json:"memory_limit_mib"`
+	// GracePeriod is the time from the signal to stop until the process is
+	// killed.
+	GracePeriod time.Duration `json:"grace_period"`
+	// AddressLifetime is how long callers may keep an answer with addresses.
+	AddressLifetime time.Duration `json:"address_lifetime"`
+	// RetryRatio and RetryAllowance bound the second attempts of a service
+	// within RetryWindow, over all gateways.
+	RetryRatio     float64       `json:"retry_ratio"`
+	RetryAllowance int           `json:"retry_allowance"`
+	RetryWindow    time.Duration `json:"retry_window"`
+	// ReservationLimit is the longest reservation of memory that engines grant.
+	ReservationLimit time.Duration `json:"reservation_limit"`
+	LogLevel         string        `json:"log_level"`
+	// LogRate bounds the log lines of a second.
+	LogRate int `json:"log_lines_per_second"`
+}
+
+// GatewayTable returns every setting of the gateway with its default and
+// validator.
+func GatewayTable() []Entry {
+	return []Entry{
+		{Key: "name", Required: true, Rule: name(), Meaning: "unique name of the host"},
+		{Key: "failure_domain", Required: true, Rule: name(), Meaning: "failure domain of the host"},
+		{Key: "region", Default: "", Rule: optional(name()), Meaning: "region of the host"},
+		{Key: "listen", Required: true, Rule: address(), Meaning: "address and port for callers"},
+		{Key: "ready_listen", Required: true, Rule: address(), Meaning: "address and port for readiness checks"},
+		{Key: "peer_listen", Required: true, Rule: address(), Meaning: "address and port for other gateways, on a network that callers cannot reach"},
+		{Key: "directory_listen", Required: true, Rule: address(), Meaning: "address and port for callers that ask for addresses"},
+		{Key: "metrics_listen", Required: true, Rule: address(), Meaning: "address and port for metrics and the state dump"},
+		{Key: "seeds", Default: []string{}, Rule: strict.Rule{Allowed: "a list of addresses of other gateways"}, Meaning: "peer addresses of gateways to join"},
+		{Key: "store", Required: true, Rule: address(), Meaning: "address of the platform's metadata store"},
+		{Key: "memory_limit_mib", Default: 256, Rule: strict.Between(32, 1<<20), Meaning: "memory of the process; the collector works harder from 60% of it on"},
+		{Key: "grace_period", Default: 8 * time.Second, Rule: strict.Lasting(time.Second, time.Hour), Meaning: "time from the signal to stop until the process is killed"},
+		{Key: "address_lifetime", Default: time.Second, Rule: strict.Lasting(100*time.Millisecond, time.Minute), Meaning: "how long callers may keep an answer with addresses"},
+		{Key: "retry_ratio", Default: 0.2, Rule: strict.Between(0, 1), Meaning: "second attempts per request of a service, over all gateways"},
+		{Key: "retry_allowance", Default: 100, Rule: strict.Between(0, 1<<20), Meaning: "second attempts of a service beyond the ratio in a window, over all gateways"},
+		{Key: "retry_window", Default: 10 * time.Second, Rule: strict.Lasting(time.Second, time.Hour), Meaning: "window of the retry budget"},
+		{Key: "reservation_limit", Default: 20 * time.Second, Rule: strict.Lasting(time.Second, time.Hour), Meaning: "longest reservation of memory that engines grant"},
+		{Key: "log_level", Default: "info", Rule: strict.OneOf("error", "warn", "info", "debug"), Meaning: "least severe level that is logged"},
+		{Key: "log_lines_per_second", Default: 400, Rule: strict.Between(1, 1<<20), Meaning: "log lines of a second beyond which lines are dropped and counted; a tenth is kept for warnings"},
+	}
+}
+
+// ReadGateway loads the settings of a gateway from a file, or from standard
+// input when path is "-". Errors are those of Read.
+func ReadGateway(path string) (Gateway, error) {
+	name, data, err := readFile(path)
+	if err != nil {
+		return Gateway{}, err
+	}
+	return LoadGateway(name, data)
+}
+
+// LoadGateway returns the settings in data, with defaults for absent keys and
+// overrides from the environment. Errors are those of Load.
+func LoadGateway(name string, data []byte) (Gateway, error) {
+	var g Gateway
+	source, err := decode(name, data, &g, GatewayTable())
+	if err != nil {
+		return Gateway{}, err
+	}
+	override(source, &g, GatewayTable())
+	check(source, &g, GatewayTable())
+	if err := source.Err(); err != nil {
+		return Gateway{}, err
+	}
+	return g, nil
+}
--- a/internal/params/load.go
+++ b/internal/params/load.go
@@ -16,6 +16,8 @@
 	// EnvPrefix starts the name of an environment variable that overrides a
 	// setting: VERBENAPIER_TLS_KEY overrides tls.key.
 	EnvPrefix = "VERBENAPIER_"
+	// FileVariable names the settings file.
+	FileVariable = EnvPrefix + "SETTINGS"
 	// environment is the file name in problems with environment variables.
 	environment = "environment"
 	envScheme   = "env:"
@@ -25,40 +27,33 @@
 // Read loads the settings from a file, or from standard input when path is
 // "-". A file that cannot be read is NotFound; see Load for other errors.
 func Read(path string) (Settings, error) {
-	if path == "-" {
-		data, err := io.ReadAll(io.LimitReader(os.Stdin, strict.MaxSize+1))
-		if err != nil {
-			return Settings{}, fault.Wrap(fault.Internal, err, "read settings from standard input")
-		}
-		return Load("standard input", data)
-	}
-	data, err := os.ReadFile(path)
+	name, data, err := readFile(path)
 	if err != nil {
-		return Settings{}, fault.Wrap(fault.NotFound, err, "read settings")
+		return Settings{}, err
 	}
-	return Load(path, data)
+	return Load(name, data)
+}
+
+func readFile(path string) (name string, data []byte, err error) {
+	if path == "-" {
+		data, err = io.ReadAll(io.LimitReader(os.Stdin, strict.MaxSize+1))
+		return "standard input", data, fault.Wrap(fault.Internal, err, "read settings from standard input")
+	}
+	data, err = os.ReadFile(path)
+	return path, data, fault.Wrap(fault.NotFound, err, "read settings")
 }
 
 // Load returns the settings in data, with defaults for absent keys and
 // overrides from the environment. The name appears in errors. Errors are
 // Invalid and wrap strict.Problems, which lists every problem.
 func Load(name string, data []byte) (Settings, error) {
-	source, err := strict.Read(name, data)
+	var s Settings
+	source, err := decode(name, data, &s, Table())
 	if err != nil {
 		return Settings{}, err
 	}
-	var s Settings
-	rules := strict.Rules{}
-	table := Table()
-	for _, e := range table {
-		rules[e.Key] = e.Rule
-		if e.Default != nil {
-			field(&s, e.Key).Set(reflect.ValueOf(e.Default))
-		}
-	}
-	source.Decode(&s, rules)
-	override(source, &s, table)
-	source.Check(&s, rules)
+	override(source, &s, Table(), &s.TLS.CA, &s.TLS.Certificate, &s.TLS.Key, &s.CallerTLS.Certificate, &s.CallerTLS.Key)
+	check(source, &s, Table())
 	s.derive(source)
 	s.checkTLS(source)
 	if err := source.Err(); err != nil {
@@ -67,9 +62,36 @@
 	return s, nil
 }
 
+// decode reads data into settings described by a table, with its defaults.
+func decode(name string, data []byte, into any, table []Entry) (*strict.Source, error) {
+	source, err := strict.Read(name, data)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range table {
+		if e.Default != nil {
+			field(into, e.Key).Set(reflect.ValueOf(e.Default))
+		}
+	}
+	source.Decode(into, rulesOf(table))
+	return source, nil
+}
+
+func check(source *strict.Source, settings any, table []Entry) {
+	source.Check(settings, rulesOf(table))
+}
+
+func rulesOf(table []Entry) strict.Rules {
+	rules := strict.Rules{}
+	for _, e := range table {
+		rules[e.Key] = e.Rule
+	}
+	return rules
+}
+
 // field returns the field of a key.
-func field(s *Settings, key string) reflect.Value {
-	v := reflect.ValueOf(s).Elem()
+func field(settings any, key string) reflect.Value {
+	v := reflect.ValueOf(settings).Elem()
 	for part := range strings.SplitSeq(key, ".") {
 		for i := range v.NumField() {
 			if v.Type().Field(i).Tag.Get("json") == part {
@@ -86,7 +108,9 @@
 	return EnvPrefix + strings.ToUpper(strings.ReplaceAll(key, ".", "_"))
 }
 
-func override(source *strict.Source, s *Settings, table []Entry) {
+// override applies the variables of the environment. Other variables with the
+// prefix are refused unless a setting refers to them.
+func override(source *strict.Source, settings any, table []Entry, referred ...*string) {
 	known := map[string]Entry{}
 	for _, e := range table {
 		known[Variable(e.Key)] = e
@@ -101,7 +125,7 @@
 			}
 			continue
 		}
-		target := field(s, e.Key)
+		target := field(settings, e.Key)
 		parsed := reflect.New(target.Type()).Elem()
 		if strict.SetText(text, parsed) != nil || (e.Rule.Check != nil && !e.Rule.Check(parsed)) {
 			text = strconv.Quote(text)
@@ -113,11 +137,10 @@
 		}
 		target.Set(parsed)
 	}
-	referred := []string{s.TLS.CA, s.TLS.Certificate, s.TLS.Key, s.CallerTLS.Certificate, s.CallerTLS.Key}
 	for _, variable := range unknown {
-		used := false
+		used := variable == FileVariable
 		for _, r := range referred {
-			used = used || r == envScheme+variable
+			used = used || *r == envScheme+variable
 		}
 		if !used {
 			source.AddIn(environment, variable, "an unknown variable", "variables of settings, and those that a setting names with env:")
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -28,6 +28,7 @@
 type Client struct {
 	dial  dialer.Func
 	group *group.Group
+	name  string
 	ids   atomic.Uint64
 
 	bytesRead    atomic.Int64
@@ -45,6 +46,10 @@
 	return &Client{dial: dial, group: g, peers: map[string]*peer{}}
 }
 
+// Introduce sets the name that the client gives to peers on connections
+// without TLS. Call it before the first call.
+func (c *Client) Introduce(name string) { c.name = name }
+
 // Traffic returns the bytes read and written over the life of the client.
 func (c *Client) Traffic() (read, written int64) {
 	return c.bytesRead.Load(), c.bytesWritten.Load()
@@ -56,7 +61,7 @@
 	if !ok {
 		return fault.New(fault.Internal, "call of %s without a deadline", method)
 	}
-	meta := callMeta{TimeoutMillis: time.Until(deadline).Milliseconds()}
+	meta := callMeta{TimeoutMillis: time.Until(deadline).Milliseconds(), From: c.name}
 	for {
 		link, err := c.peer(address).connect(ctx, c)
 		if err != nil {
--- a/internal/wire/envelope.go
+++ b/internal/wire/envelope.go
@@ -19,6 +19,9 @@
 type callMeta struct {
 	// TimeoutMillis is the time left until the caller's deadline.
 	TimeoutMillis int64 `json:"timeout_ms"`
+	// From is the caller's name. It counts only on connections without TLS,
+	// where no certificate names the peer.
+	From string `json:"from,omitempty"`
 }
 
 type cancelParams struct {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -150,7 +150,8 @@
 		_ = conn.Reply(ctx, req.ID, nil)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeoutOf(req))
+	meta := metaOf(req)
+	ctx, cancel := context.WithTimeout(ctx, meta.timeout())
 	if !h.register(req.ID.Str, cancel) {
 		cancel()
 		_ = conn.ReplyWithError(ctx, req.ID, encodeError(fault.New(fault.Overloaded, "too many calls on this connection")))
@@ -158,17 +159,26 @@
 	}
 	h.server.group.Go("wire call", func(context.Context) error {
 		defer h.unregister(req.ID.Str, cancel)
-		h.serve(ctx, conn, req)
+		h.serve(ctx, conn, req, h.callerName(meta))
 		return nil
 	})
 }
 
-func (h *session) serve(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+// callerName returns the name in the peer's certificate or, without TLS, the
+// name that the peer gives itself.
+func (h *session) callerName(meta callMeta) string {
+	if h.server.tls == nil && meta.From != "" {
+		return meta.From
+	}
+	return h.from
+}
+
+func (h *session) serve(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, from string) {
 	var params json.RawMessage
 	if req.Params != nil {
 		params = *req.Params
 	}
-	result, err := h.dispatch(ctx, req.Method, params)
+	result, err := h.dispatch(ctx, from, req.Method, params)
 	if err != nil {
 		_ = conn.ReplyWithError(ctx, req.ID, encodeError(err))
 		return
@@ -180,7 +190,7 @@
 }
 
 // dispatch runs the handler; a panic in it fails this call only.
-func (h *session) dispatch(ctx context.Context, method string, params json.RawMessage) (result any, err error) {
+func (h *session) dispatch(ctx context.Context, from, method string, params json.RawMessage) (result any, err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			h.server.log.WithFields(logrus.Fields{"event": "peer_handler_panic", "method": method, "stack": string(debug.Stack())}).
@@ -188,7 +198,7 @@
 			err = fault.New(fault.Internal, "handler of %s failed", method)
 		}
 	}()
-	return h.server.mux.Serve(ctx, h.from, method, params)
+	return h.server.mux.Serve(ctx, from, method, params)
 }
 
 func (h *session) register(id string, cancel context.CancelFunc) bool {
@@ -229,10 +239,19 @@
 	}
 }
 
-func timeoutOf(req *jsonrpc2.Request) time.Duration {
+// metaOf returns what travels beside the parameters of a call, or its zero
+// value when that cannot be read.
+func metaOf(req *jsonrpc2.Request) callMeta {
 	var meta callMeta
-	if req.Meta == nil || json.Unmarshal(*req.Meta, &meta) != nil || meta.TimeoutMillis <= 0 {
+	if req.Meta == nil || json.Unmarshal(*req.Meta, &meta) != nil {
+		return callMeta{}
+	}
+	return meta
+}
+
+func (m callMeta) timeout() time.Duration {
+	if m.TimeoutMillis <= 0 {
 		return dialTimeout
 	}
-	return min(time.Duration(meta.TimeoutMillis)*time.Millisecond, maxCallTimeout)
+	return min(time.Duration(m.TimeoutMillis)*time.Millisecond, maxCallTimeout)
 }
