relay, place: leave a silent engine only when callers are about to give up

An engine is left after 0.8 of the callers' patience; the output of a resumed stream is what is left of it; pauses at which callers give up count three times the value, and plans that disturb anybody wait while there is time.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -32,6 +32,18 @@
 	// urgency is the multiple of its own time that a late request may have
 	// left before it is placed wherever there is room.
 	urgency = 2.5
+	// abandonGaps times the allowed pause, at least abandonMin, is the pause
+	// after which callers give a stream up; it is lost then, not only late, and
+	// abandonLoss times its value counts, since its work is done again.
+	abandonGaps = 8
+	abandonMin  = 2 * time.Second
+	abandonLoss = 3.0
+	// mixingLoss is the cost of each running stream on an engine that reads a
+	// long prompt beside it without delaying it: new short prompts have to go
+	// to other engines meanwhile.
+	mixingLoss = 0.02
+	// freeLoss is the loss up to which a plan counts as disturbing nobody.
+	freeLoss = 0.5
 	// memorySafety is the part of an engine's memory that is planned with.
 	memorySafety = 0.97
 )
@@ -73,26 +85,26 @@
 // choose returns the engines for a request, or false when it should wait. The
 // caller holds mu.
 func (p *Pool) choose(j *job, now time.Time) (plan, bool) {
-	free := p.candidates(j, now)
-	if len(free) == 0 {
+	engines := p.candidates(j, now)
+	if len(engines) == 0 {
 		return plan{}, false
 	}
-	best, ok := p.bestPlan(j, free, now)
+	best, ok := p.bestPlan(j, engines, now)
 	if !ok {
 		return plan{}, false
 	}
 	left := j.goalLeft(now) - firstSafety
 	onTime := best.finish <= left
+	free := best.loss < freeLoss
+	need := best.finish + p.output(j)
 	switch {
-	case best.loss == 0 && onTime:
+	case free && (onTime || left < 0):
 		return best, true
 	case onTime && left-best.finish > patience:
 		return plan{}, false
 	case onTime && best.loss < lateLoss*j.weight():
 		return best, true
-	case best.loss == 0 && left < 0:
-		return best, true
-	case j.remaining(now) < time.Duration(urgency*float64(j.prefill+p.output(j))):
+	case j.remaining(now) < scale(need, urgency):
 		return best, true
 	}
 	return plan{}, false
@@ -154,7 +166,7 @@
 	part := j.prefill / time.Duration(n)
 	for i := range free {
 		c := &free[i]
-		c.loss = p.disturbed(c.slot, j, c.backlog+scale(part, c.pace), now)
+		c.loss = p.disturbed(c.slot, j, c.backlog+scale(part, c.pace))
 	}
 	long := j.prefill > p.slack(p.gap)
 	slices.SortFunc(free, func(a, b candidate) int {
@@ -212,16 +224,22 @@
 	return cmp.Or(cmp.Compare(bad(a), bad(b)), cmp.Compare(fa, fb), cmp.Compare(a.order, b.order))
 }
 
-// disturbed returns the value of the streams on an engine that become late by a
-// reading time. The caller holds mu.
-func (p *Pool) disturbed(s *slot, by *job, reading time.Duration, now time.Time) float64 {
+// disturbed returns the value of the streams on an engine that become late, or
+// are lost, by a reading time. The caller holds mu.
+func (p *Pool) disturbed(s *slot, by *job, reading time.Duration) float64 {
+	long := by.prefill > p.slack(p.gap)
 	loss := 0.0
 	for _, j := range s.jobs {
 		if j.slot != s || j.Gap <= 0 {
 			continue
 		}
-		if reading > p.slack(j.Gap) {
+		switch {
+		case reading > max(abandonMin, abandonGaps*j.Gap):
+			loss += abandonLoss * j.weight()
+		case reading > p.slack(j.Gap):
 			loss += lateLoss * j.weight()
+		case long && j.Gap <= p.gap:
+			loss += mixingLoss
 		}
 	}
 	return loss
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -22,10 +22,15 @@
 	// The base covers the wait for a stalled helper.
 	silenceFactor = 3
 	silenceBase   = 1500 * time.Millisecond
-	// gapFactor times the allowed pause is how long an engine may be silent
-	// between events, at least gapMin: callers give up after eight times.
-	gapFactor = 4
-	gapMin    = time.Second
+	// Callers give a stream up after abandonGaps times the allowed pause,
+	// abandonGoals times the goal or abandonMin, whichever is longest. An engine
+	// that is silent for abandonShare of that is left, at most silenceMax: work
+	// that hangs on a dead engine is cut off before that.
+	abandonGaps  = 8
+	abandonGoals = 4
+	abandonMin   = 2 * time.Second
+	abandonShare = 0.8
+	silenceMax   = 3 * time.Second
 )
 
 // errSilent is the cause of the end of an attempt whose upstream is silent.
@@ -101,11 +106,19 @@
 	}
 	return c.server.options.Placer.Acquire(ctx, place.Request{
 		ID: c.placeID(attempt), Service: c.service, Organisation: c.organisation.Name,
-		Prompt: c.meta.Prompt, Output: c.meta.Output, Goal: goal, Gap: c.route.GapGoal,
+		Prompt: c.meta.Prompt + c.produced(), Output: max(1, c.meta.Output-c.produced()), Goal: goal, Gap: c.route.GapGoal,
 		Remaining: time.Until(c.deadline), Priority: c.priority(), Avoid: c.avoid, Fingerprint: c.fingerprint(),
 	})
 }
 
+// produced returns the number of tokens that the caller has received.
+func (c *call) produced() int {
+	if e := c.table.Services()[c.service].Engine; e != nil {
+		return c.events * e.EventTokens
+	}
+	return 0
+}
+
 // attemptEngine sends the request to an engine and passes the events on.
 func (c *call) attemptEngine(ctx context.Context, attempt int, g place.Grant, st *stream) (err error) {
 	ending := c.ending(c.placeID(attempt), place.Broken)
@@ -176,6 +189,12 @@
 	return silenceFactor*expected + silenceBase
 }
 
+// maxPause returns how long an engine may be silent between events.
+func (c *call) maxPause() time.Duration {
+	patience := max(abandonMin, abandonGaps*c.route.GapGoal, abandonGoals*c.route.Goal)
+	return min(silenceMax, time.Duration(abandonShare*float64(patience)))
+}
+
 // lost judges an attempt that broke off: the caller's leaving and the time
 // limit are no fault of the engine.
 func (c *call) lost(ctx context.Context, ending *place.Ending, err error) error {
@@ -222,7 +241,7 @@
 	var split event.Splitter
 	buf := c.server.bodies.Get().(*[]byte)
 	defer c.server.bodies.Put(buf)
-	pause := max(gapMin, gapFactor*c.route.GapGoal)
+	pause := c.maxPause()
 	fresh := true
 	for {
 		n, err := resp.Body.Read(*buf)
