place: count the pass and the first event in the time to it

Long prompts that were late on arrival counted as urgent by the time of one engine alone, and were put beside short streams at once.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -12,7 +12,7 @@
 	maxHelpers = 16
 	// gapSafety is the part of an allowed pause that is left unused, since
 	// events are delayed on their way and engines differ.
-	gapSafety = 0.1
+	gapSafety = 0.2
 	// firstSafety is the time kept between the expected first event and the
 	// goal, for the way to the caller.
 	firstSafety = 15 * time.Millisecond
@@ -42,6 +42,15 @@
 	// long prompt beside it without delaying it: new short prompts have to go
 	// to other engines meanwhile.
 	mixingLoss = 0.02
+	// firstEvents is the time from the end of reading to the first event, and
+	// passWait the usual wait for the end of the pass that an engine is in when
+	// a request arrives, both in times between events.
+	firstEvents = 1.0
+	passWait    = 0.5
+	// queueShare is the part of the time to the goal that may go into reading,
+	// the prompt itself included, before a short prompt takes an engine that is
+	// kept for long ones.
+	queueShare = 0.4
 	// freeLoss is the loss up to which a plan counts as disturbing nobody.
 	freeLoss = 0.5
 	// memorySafety is the part of an engine's memory that is planned with.
@@ -66,8 +75,7 @@
 // slack returns how much reading an engine may do at once without delaying an
 // event of a stream beyond an allowed pause.
 func (p *Pool) slack(gap time.Duration) time.Duration {
-	usual := p.model.EventTime(p.model.Slots, p.model.Slots*unitTokens)
-	return time.Duration(float64(gap)*(1-gapSafety)) - usual
+	return time.Duration(float64(gap)*(1-gapSafety)) - p.eventTime()
 }
 
 // output returns the time to write the answer of a request.
@@ -96,7 +104,6 @@
 	left := j.goalLeft(now) - firstSafety
 	onTime := best.finish <= left
 	free := best.loss < freeLoss
-	need := best.finish + p.output(j)
 	switch {
 	case free && (onTime || left < 0):
 		return best, true
@@ -104,12 +111,23 @@
 		return plan{}, false
 	case onTime && best.loss < lateLoss*j.weight():
 		return best, true
-	case j.remaining(now) < scale(need, urgency):
+	case j.remaining(now) < scale(p.shortest(j, len(engines)), urgency):
 		return best, true
 	}
 	return plan{}, false
 }
 
+// shortest returns the time that a request needs with as many engines as may
+// read its prompt.
+func (p *Pool) shortest(j *job, engines int) time.Duration {
+	return j.prefill/time.Duration(max(1, min(engines, 1+maxHelpers))) + p.output(j)
+}
+
+// eventTime is the usual time between events on a full engine.
+func (p *Pool) eventTime() time.Duration {
+	return p.model.EventTime(p.model.Slots, p.model.Slots*unitTokens)
+}
+
 // candidates returns the engines that may take a request, or a part of it.
 func (p *Pool) candidates(j *job, now time.Time) []candidate {
 	var free, avoided []candidate
@@ -147,7 +165,7 @@
 	bestTotal := math.Inf(1)
 	for n := 1; n <= limit; n++ {
 		pl, ok := p.planOf(j, free, n, now)
-		if !ok {
+		if !ok || found && pl.finish+p.output(j) > j.remaining(now) {
 			continue
 		}
 		total := pl.loss
@@ -192,7 +210,7 @@
 		pl.helpers = append(pl.helpers, free[i].slot)
 		add(free[i])
 	}
-	pl.finish += p.model.Step(p.model.Slots, p.model.Slots*unitTokens)
+	pl.finish += scale(p.eventTime(), firstEvents+passWait)
 	return pl, len(pl.helpers) == n-1
 }
 
@@ -200,7 +218,8 @@
 // and disturbs nobody, in their fixed order up to spareSlots places, so that
 // the last engines stay free for long prompts.
 func (p *Pool) compareShort(j *job, a, b candidate, now time.Time) int {
-	limit := j.goalLeft(now) - firstSafety
+	limit := j.goalLeft(now) - firstSafety - scale(p.eventTime(), firstEvents+passWait)
+	soft := scale(limit, queueShare)
 	bad := func(c candidate) float64 {
 		loss := c.loss
 		if c.backlog+scale(j.prefill, c.pace) > limit {
@@ -208,6 +227,12 @@
 		}
 		return loss
 	}
+	queues := func(c candidate) time.Duration {
+		if c.backlog == 0 || c.backlog+scale(j.prefill, c.pace) <= soft {
+			return 0
+		}
+		return c.backlog
+	}
 	full := func(c candidate) int {
 		switch n := c.main(); {
 		case n >= c.Slots:
@@ -221,7 +246,7 @@
 	if fa == 2 || fb == 2 {
 		return cmp.Compare(fa, fb)
 	}
-	return cmp.Or(cmp.Compare(bad(a), bad(b)), cmp.Compare(fa, fb), cmp.Compare(a.order, b.order))
+	return cmp.Or(cmp.Compare(bad(a), bad(b)), cmp.Compare(fa, fb), cmp.Compare(queues(a), queues(b)), cmp.Compare(a.order, b.order))
 }
 
 // disturbed returns the value of the streams on an engine that become late, or
@@ -260,7 +285,7 @@
 	if p.model.Memory > 0 && float64(j.Prompt+j.Output) > memorySafety*float64(p.model.Memory) {
 		return &Refusal{Reason: "the prompt needs more memory than an engine has", RetryAfter: time.Second}
 	}
-	need := j.prefill/time.Duration(min(usable, 1+maxHelpers)) + p.output(j)
+	need := p.shortest(j, usable)
 	var ahead time.Duration
 	for _, w := range p.waiting {
 		if w.Priority <= j.Priority {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -46,6 +46,10 @@
 	status  int
 	events  int
 	resumed int
+	// first is the time to the first event, and pause the longest time between
+	// two events.
+	first time.Duration
+	pause time.Duration
 }
 
 // errDeadline is the cause of the end of a request whose time has passed.
@@ -209,6 +213,9 @@
 	if c.route != nil {
 		fields["route"] = c.route.Name
 	}
+	if c.events > 0 {
+		fields["first_ms"], fields["pause_ms"] = c.first.Milliseconds(), c.pause.Milliseconds()
+	}
 	if c.resumed > 0 {
 		fields["resumed"] = c.resumed
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -288,7 +288,10 @@
 	now := time.Now()
 	if c.events == 0 {
 		st.first = now
-		c.server.metrics.first(c.service, now.Sub(c.arrived))
+		c.first = now.Sub(c.arrived)
+		c.server.metrics.first(c.service, c.first)
+	} else {
+		c.pause = max(c.pause, now.Sub(st.recent))
 	}
 	st.recent = now
 	c.events++
