--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -114,7 +114,7 @@
 	})
 	g.places.Register(g.mux)
 	g.relay = relay.New(relay.Options{
-		Codec: g.adapter.Codec, Placer: g.places, Table: g.state.Table, Age: g.feed.Age, Upstream: g.state.Upstream,
+		Codec: g.adapter.Codec, Placer: g.places, Memory: g.adapter.Memory, Group: g.group, Table: g.state.Table, Age: g.feed.Age, Upstream: g.state.Upstream,
 		Budget: retry.New(s.RetryRatio, s.RetryAllowance, s.RetryWindow, func() int { return len(g.members.Members()) }),
 		Dial:   o.Network.Dial, Random: newRandom(), Log: g.log, Metrics: metrics.SubScope("relay"),
 	})
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -148,10 +148,23 @@
 	return free
 }
 
-// holds reports whether an engine has a place and the memory for a request.
-func (p *Pool) holds(s *slot, j *job) bool {
-	return s.main() < s.Slots && (p.model.Memory == 0 ||
-		float64(s.memory+j.Prompt+j.Output) <= memorySafety*float64(p.model.Memory))
+// room returns how many tokens an engine can hold, without a bound where the
+// model names none.
+func (p *Pool) room() int {
+	if p.model.Memory == 0 {
+		return math.MaxInt
+	}
+	return int(memorySafety * float64(p.model.Memory))
+}
+
+// share returns the memory that a request needs at each of n engines: all of
+// it at the first one or, when it is too large for an engine, an equal part.
+func (p *Pool) share(prompt, output, n int) (first, helper int) {
+	if total := prompt + output; total > p.room() {
+		each := (total + n - 1) / n
+		return each, each
+	}
+	return prompt + output, 0
 }
 
 // bestPlan weighs plans with different numbers of helpers.
@@ -193,7 +206,11 @@
 		}
 		return p.compareShort(j, a, b, now)
 	})
-	at := slices.IndexFunc(free, func(c candidate) bool { return p.holds(c.slot, j) })
+	first, helper := p.share(j.Prompt, j.Output, n)
+	if first > p.room() {
+		return plan{}, false
+	}
+	at := slices.IndexFunc(free, func(c candidate) bool { return c.main() < c.Slots && c.memory+first <= p.room() })
 	if at < 0 {
 		return plan{}, false
 	}
@@ -204,7 +221,7 @@
 	}
 	add(free[at])
 	for i := 0; len(pl.helpers) < n-1 && i < len(free); i++ {
-		if i == at {
+		if i == at || free[i].memory+helper > p.room() {
 			continue
 		}
 		pl.helpers = append(pl.helpers, free[i].slot)
@@ -282,8 +299,8 @@
 	if usable == 0 {
 		return &Refusal{Reason: "the service has no engine", RetryAfter: penaltyBase}
 	}
-	if p.model.Memory > 0 && float64(j.Prompt+j.Output) > memorySafety*float64(p.model.Memory) {
-		return &Refusal{Reason: "the prompt needs more memory than an engine has", RetryAfter: time.Second}
+	if each, _ := p.share(j.Prompt, j.Output, min(usable, 1+maxHelpers)); each > p.room() {
+		return &Refusal{Reason: "the prompt needs more memory than the engines have", RetryAfter: time.Second}
 	}
 	need := p.shortest(j, usable)
 	var ahead time.Duration
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -61,11 +61,13 @@
 	Alone bool `json:"alone,omitempty"`
 }
 
-// Helper is an engine that reads a part of a prompt. A ticket names memory
-// reserved there.
+// Helper is an engine that reads a part of a prompt.
 type Helper struct {
 	ID      string `json:"id"`
 	Address string `json:"address"`
+	// Reserve is how much memory to reserve there before the request is sent,
+	// in tokens; Ticket names the reservation.
+	Reserve int    `json:"reserve,omitempty"`
 	Ticket  string `json:"ticket,omitempty"`
 }
 
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -66,7 +66,9 @@
 	slot    *slot
 	helpers []*slot
 	part    time.Duration
-	begun   bool
+	// first and helper are the tokens that it holds at its engines.
+	first, helper int
+	begun         bool
 	// reported is when the node last reported the request.
 	reported time.Time
 }
@@ -282,7 +284,11 @@
 	j.slot, j.helpers = s, helpers
 	j.part = j.prefill / time.Duration(1+len(helpers))
 	p.jobs[j.ID] = j
-	s.memory += j.Prompt + j.Output
+	j.first, j.helper = p.share(j.Prompt, j.Output, 1+len(helpers))
+	s.memory += j.first
+	for _, h := range helpers {
+		h.memory += j.helper
+	}
 	for _, e := range j.engines() {
 		e.jobs[j.ID] = j
 		e.reading = later(e.reading, now).Add(scale(j.part, e.pace))
@@ -370,7 +376,10 @@
 		return
 	}
 	now := time.Now()
-	j.slot.memory -= j.Prompt + j.Output
+	j.slot.memory -= j.first
+	for _, h := range j.helpers {
+		h.memory -= j.helper
+	}
 	for _, e := range j.engines() {
 		delete(e.jobs, j.ID)
 		if !j.begun {
@@ -417,8 +426,9 @@
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *job) bool { return w == j })
 	j.granted = now
 	j.grant = &Grant{Upstream: plan.main.Upstream, Expected: plan.finish}
+	_, reserve := p.share(j.Prompt, j.Output, 1+len(plan.helpers))
 	for _, h := range plan.helpers {
-		j.grant.Helpers = append(j.grant.Helpers, Helper{ID: h.ID, Address: h.Address})
+		j.grant.Helpers = append(j.grant.Helpers, Helper{ID: h.ID, Address: h.Address, Reserve: reserve})
 	}
 	p.occupy(j, plan.main, plan.helpers, now)
 	close(j.settled)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/verbenapier/verbenapier/internal/retry"
 	"github.com/verbenapier/verbenapier/internal/route"
 	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
 const (
@@ -102,10 +103,20 @@
 	EndPlain(u place.Upstream, o place.Outcome)
 }
 
+// Reserver sets memory of engines aside. Each call ends with its context. A
+// call that fails may still have an effect later.
+type Reserver interface {
+	Reserve(ctx context.Context, u place.Helper, tokens int, hold time.Duration) error
+	Release(ctx context.Context, u place.Helper) error
+}
+
 // Options are the dependencies of a Server.
 type Options struct {
 	Codec  Codec
 	Placer Placer
+	Memory Reserver
+	// Group runs what outlives a request: the release of its memory.
+	Group *group.Group
 	// Table returns the configuration in force, or nil, and Age how long ago it
 	// was known to be the newest.
 	Table func() *route.Table
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -128,6 +128,12 @@
 		}
 		c.server.options.Placer.Ended(c.service, ending)
 	}()
+	helpers, held, err := c.reserve(ctx, attempt, g.Helpers)
+	if err != nil {
+		ending.Outcome = place.Rejected
+		return err
+	}
+	defer held.release()
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(c.silence(g), func() { cancel(errSilent) })
@@ -138,7 +144,7 @@
 		"upstream": g.Upstream.ID, "address": g.Upstream.Address, "attempt": attempt + 1, "helpers": len(g.Helpers),
 		"expected_ms": g.Expected.Milliseconds(), "alone": g.Alone,
 	})
-	p := Passing{Helpers: g.Helpers, After: st.last, HasAfter: st.hasLast && c.started}
+	p := Passing{Helpers: helpers, After: st.last, HasAfter: st.hasLast && c.started}
 	resp, err := c.send(attemptCtx, g.Upstream, p)
 	if fault.Is(err, fault.Unreachable) {
 		return err
