place: one long part at a time on an engine

Long prompts now wait in the scheduler until the engines have at most 40 ms to read, and pauses from 1.2 s count as the loss of a stream.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -38,6 +38,13 @@
 	abandonGaps = 8
 	abandonMin  = 2 * time.Second
 	abandonLoss = 3.0
+	// abandonShare of that pause counts as all of it: engines read slower than
+	// planned, and gateways leave an engine that is silent for 0.8 of it.
+	abandonShare = 0.6
+	// readOverlap is the reading that an engine may have left when it gets a
+	// part of a long prompt. Engines read the newest part first, so that one
+	// which waits behind others on the engine may starve; it waits here instead.
+	readOverlap = 40 * time.Millisecond
 	// mixingLoss is the cost of each running stream on an engine that reads a
 	// long prompt beside it without delaying it: new short prompts have to go
 	// to other engines meanwhile.
@@ -173,6 +180,10 @@
 	if j.prefill > p.slack(p.gap) {
 		limit = min(len(free), 1+maxHelpers)
 	}
+	if limit > 1 {
+		free = slices.DeleteFunc(slices.Clone(free), func(c candidate) bool { return c.backlog > readOverlap })
+		limit = min(limit, len(free))
+	}
 	var best plan
 	found := false
 	bestTotal := math.Inf(1)
@@ -276,7 +287,7 @@
 			continue
 		}
 		switch {
-		case reading > max(abandonMin, abandonGaps*j.Gap):
+		case reading > scale(max(abandonMin, abandonGaps*j.Gap), abandonShare):
 			loss += abandonLoss * j.weight()
 		case reading > p.slack(j.Gap):
 			loss += lateLoss * j.weight()
