place: refuse grants of an owner with an older list; cheaper choice of engines

Its copy of the engines was taken over late. Ruled out: the store and the watches (the other hosts had the change).

Sums per engine are made once per choice, pumps are at least 3 ms apart, and a node refuses a grant for an engine of which it knows itself that it leaves.

--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -110,6 +110,7 @@
 	g.buildCluster()
 	g.places = place.NewClient(place.ClientOptions{
 		Members: g.members, Caller: g.caller, Pool: g.state.Pool, Upstreams: g.state.Upstreams,
+		Gone:   g.state.Gone,
 		Random: newRandom(), Log: g.log,
 	})
 	g.places.Register(g.mux)
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -22,6 +22,9 @@
 	// seconds.
 	lapseWindow = time.Second
 	lapseHold   = 2200 * time.Millisecond
+	// goneMemory is how long an upstream that left is remembered. Grants of an
+	// owner with an older copy are refused by it.
+	goneMemory = time.Minute
 	// stateTick is how often held registrations are examined.
 	stateTick = 200 * time.Millisecond
 )
@@ -38,7 +41,9 @@
 	document  uint64
 	upstreams map[string]*registered
 	services  map[string][]place.Upstream
-	pools     map[string]*place.Pool
+	// gone holds when the upstreams left that this node knew.
+	gone  map[string]time.Time
+	pools map[string]*place.Pool
 }
 
 // registered is the registration of an upstream.
@@ -54,7 +59,8 @@
 func newState(f *feed.Feed, a Adapter, g *group.Group, log logrus.FieldLogger) *state {
 	return &state{
 		feed: f, adapter: a, log: log, group: g,
-		upstreams: map[string]*registered{}, services: map[string][]place.Upstream{}, pools: map[string]*place.Pool{},
+		upstreams: map[string]*registered{}, services: map[string][]place.Upstream{},
+		gone: map[string]time.Time{}, pools: map[string]*place.Pool{},
 	}
 }
 
@@ -84,6 +90,11 @@
 		changed = s.takeDocument(key, entry) || s.takeUpstream(key, entry) || changed
 	}
 	changed = s.dropMissing(live, now) || changed
+	for id, at := range s.gone {
+		if now.Sub(at) > goneMemory {
+			delete(s.gone, id)
+		}
+	}
 	if changed {
 		s.arrange()
 	}
@@ -130,6 +141,10 @@
 			Warn("a registration names no upstream to use")
 	}
 	s.upstreams[key] = &registered{Upstream: u, revision: entry.Revision, invalid: err != nil}
+	delete(s.gone, u.ID)
+	if u.Leaving {
+		s.gone[u.ID] = time.Now()
+	}
 	if err == nil && (known == nil || known.Upstream != u || !known.lapsed.IsZero()) {
 		s.log.WithFields(logrus.Fields{
 			"event": "upstream", "upstream": u.ID, "service": u.Service, "address": u.Address, "leaving": u.Leaving,
@@ -158,6 +173,7 @@
 			continue
 		}
 		delete(s.upstreams, key)
+		s.gone[r.ID] = now
 		s.log.WithFields(logrus.Fields{"event": "upstream_gone", "upstream": r.ID, "service": r.Service}).
 			Info("an upstream is no longer registered")
 		dropped = true
@@ -217,6 +233,14 @@
 	return ""
 }
 
+// Gone reports whether an upstream leaves, or left lately.
+func (s *state) Gone(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.gone[id]
+	return ok
+}
+
 // Pool returns this node's picture of a service.
 func (s *state) Pool(service string) *place.Pool {
 	s.mu.Lock()
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -74,11 +74,15 @@
 	loss float64
 }
 
-// weight is the value of a request relative to a prompt of unitTokens.
-func (j *job) weight() float64 {
-	return math.Pow(max(1, float64(j.Prompt))/unitTokens, sizeExponent)
+// valueOf returns the value of a prompt relative to one of unitTokens.
+func valueOf(prompt int) float64 {
+	return math.Pow(max(1, float64(prompt))/unitTokens, sizeExponent)
 }
 
+// long reports whether a prompt takes so long to read that a stream with the
+// tightest gap beside it would be late.
+func (p *Pool) long(j *job) bool { return j.prefill > p.slack(p.gap) }
+
 // slack returns how much reading an engine may do at once without delaying an
 // event of a stream beyond an allowed pause.
 func (p *Pool) slack(gap time.Duration) time.Duration {
@@ -95,6 +99,42 @@
 	*slot
 	backlog time.Duration
 	loss    float64
+	// places is the number of its requests that hold a place, and streams what
+	// they are worth by the pause that they allow.
+	places  int
+	streams []streams
+}
+
+// streams are the running streams of an engine that allow the same pause.
+type streams struct {
+	gap, slack, abandon time.Duration
+	count               int
+	weight              float64
+}
+
+// candidateOf sums up what runs on an engine.
+func (p *Pool) candidateOf(s *slot, now time.Time) candidate {
+	c := candidate{slot: s, backlog: s.backlog(now)}
+	for _, j := range s.jobs {
+		if j.slot != s {
+			continue
+		}
+		c.places++
+		if j.Gap <= 0 {
+			continue
+		}
+		at := slices.IndexFunc(c.streams, func(g streams) bool { return g.gap == j.Gap })
+		if at < 0 {
+			at = len(c.streams)
+			c.streams = append(c.streams, streams{
+				gap: j.Gap, slack: p.slack(j.Gap),
+				abandon: scale(max(abandonMin, abandonGaps*j.Gap), abandonShare),
+			})
+		}
+		c.streams[at].count++
+		c.streams[at].weight += j.value
+	}
+	return c
 }
 
 // choose returns the engines for a request, or false when it should wait. The
@@ -116,7 +156,7 @@
 		return best, true
 	case onTime && left-best.finish > patience:
 		return plan{}, false
-	case onTime && best.loss < lateLoss*j.weight():
+	case onTime && best.loss < lateLoss*j.value:
 		return best, true
 	case j.remaining(now) < scale(p.shortest(j, len(engines)), urgency):
 		return best, true
@@ -142,7 +182,7 @@
 		if !s.usable(now) {
 			continue
 		}
-		c := candidate{slot: s, backlog: s.backlog(now)}
+		c := p.candidateOf(s, now)
 		if slices.Contains(j.Avoid, s.ID) || s.pace >= slowPace {
 			avoided = append(avoided, c)
 		} else {
@@ -177,7 +217,7 @@
 // bestPlan weighs plans with different numbers of helpers.
 func (p *Pool) bestPlan(j *job, free []candidate, now time.Time) (plan, bool) {
 	limit := 1
-	if j.prefill > p.slack(p.gap) {
+	if p.long(j) {
 		limit = min(len(free), 1+maxHelpers)
 	}
 	if limit > 1 {
@@ -194,7 +234,7 @@
 		}
 		total := pl.loss
 		if pl.finish > j.goalLeft(now)-firstSafety {
-			total += lateLoss * j.weight()
+			total += lateLoss * j.value
 		}
 		if !found || total < bestTotal || total == bestTotal && pl.finish < best.finish {
 			best, bestTotal, found = pl, total, true
@@ -206,22 +246,23 @@
 // planOf returns the cheapest plan with n engines.
 func (p *Pool) planOf(j *job, free []candidate, n int, now time.Time) (plan, bool) {
 	part := j.prefill / time.Duration(n)
+	long := p.long(j)
 	for i := range free {
 		c := &free[i]
-		c.loss = p.disturbed(c.slot, j, c.backlog+scale(part, c.pace))
+		c.loss = c.disturbed(c.backlog+scale(part, c.pace), long, p.gap)
 	}
-	long := j.prefill > p.slack(p.gap)
+	limit := j.goalLeft(now) - firstSafety - scale(p.eventTime(), firstEvents+passWait)
 	slices.SortFunc(free, func(a, b candidate) int {
 		if long {
 			return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.backlog, b.backlog), cmp.Compare(b.order, a.order))
 		}
-		return p.compareShort(j, a, b, now)
+		return p.compareShort(j, a, b, limit)
 	})
 	first, helper := p.share(j.Prompt, j.Output, n)
 	if first > p.room() {
 		return plan{}, false
 	}
-	at := slices.IndexFunc(free, func(c candidate) bool { return c.main() < c.Slots && c.memory+first <= p.room() })
+	at := slices.IndexFunc(free, func(c candidate) bool { return c.places < c.Slots && c.memory+first <= p.room() })
 	if at < 0 {
 		return plan{}, false
 	}
@@ -245,8 +286,7 @@
 // compareShort orders engines for a short prompt: those on which it is on time
 // and disturbs nobody, in their fixed order up to spareSlots places, so that
 // the last engines stay free for long prompts.
-func (p *Pool) compareShort(j *job, a, b candidate, now time.Time) int {
-	limit := j.goalLeft(now) - firstSafety - scale(p.eventTime(), firstEvents+passWait)
+func (p *Pool) compareShort(j *job, a, b candidate, limit time.Duration) int {
 	soft := scale(limit, queueShare)
 	bad := func(c candidate) float64 {
 		loss := c.loss
@@ -262,7 +302,7 @@
 		return c.backlog
 	}
 	full := func(c candidate) int {
-		switch n := c.main(); {
+		switch n := c.places; {
 		case n >= c.Slots:
 			return 2
 		case n >= c.Slots-spareSlots:
@@ -278,21 +318,18 @@
 }
 
 // disturbed returns the value of the streams on an engine that become late, or
-// are lost, by a reading time. The caller holds mu.
-func (p *Pool) disturbed(s *slot, by *job, reading time.Duration) float64 {
-	long := by.prefill > p.slack(p.gap)
+// are lost, by a reading time. Long prompts also pay for each stream with the
+// tightest gap beside them.
+func (c *candidate) disturbed(reading time.Duration, long bool, tightest time.Duration) float64 {
 	loss := 0.0
-	for _, j := range s.jobs {
-		if j.slot != s || j.Gap <= 0 {
-			continue
-		}
+	for _, g := range c.streams {
 		switch {
-		case reading > scale(max(abandonMin, abandonGaps*j.Gap), abandonShare):
-			loss += abandonLoss * j.weight()
-		case reading > p.slack(j.Gap):
-			loss += lateLoss * j.weight()
-		case long && j.Gap <= p.gap:
-			loss += mixingLoss
+		case reading > g.abandon:
+			loss += abandonLoss * g.weight
+		case reading > g.slack:
+			loss += lateLoss * g.weight
+		case long && g.gap <= tightest:
+			loss += mixingLoss * float64(g.count)
 		}
 	}
 	return loss
--- a/internal/place/client.go
+++ b/internal/place/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,8 +53,10 @@
 	// owner, and Upstreams lists the upstreams of a service.
 	Pool      func(service string) *Pool
 	Upstreams func(service string) []Upstream
-	Random    *rand.Rand
-	Log       logrus.FieldLogger
+	// Gone reports whether this node knows that an upstream leaves or left.
+	Gone   func(id string) bool
+	Random *rand.Rand
+	Log    logrus.FieldLogger
 }
 
 // Client gets places for the requests of this node and reports on them.
@@ -98,6 +101,8 @@
 
 // Acquire returns a place at an engine, or a refusal: then the request was
 // not run. It waits as long as the owner keeps the request waiting.
+// The ID of the request may change: the one under which it was placed is in the
+// grant.
 func (c *Client) Acquire(ctx context.Context, req Request) (Verdict, error) {
 	started := time.Now()
 	req.Node = c.options.Members.Self().Name
@@ -121,6 +126,14 @@
 		}
 		if v.Grant != nil {
 			c.track(req, *v.Grant)
+			if c.outdated(*v.Grant) {
+				// The owner's copy of the upstreams is older than this one's.
+				c.Ended(req.Service, Ending{ID: req.ID, Outcome: Rejected, Fault: v.Grant.Upstream.ID})
+				req.Avoid = append(slices.Clone(req.Avoid), v.Grant.Upstream.ID)
+				req.ID += "'"
+				tries++
+				continue
+			}
 		}
 		if v.Grant != nil || v.Refusal != nil {
 			return v, nil
@@ -130,7 +143,7 @@
 	if !ok {
 		return Verdict{Refusal: &Refusal{Reason: "the service has no upstream", RetryAfter: penaltyBase}}, nil
 	}
-	g := Grant{Upstream: u, Alone: true}
+	g := Grant{ID: req.ID, Upstream: u, Alone: true}
 	c.options.Log.WithFields(logrus.Fields{
 		"event": "placed_alone", "request": req.ID, "service": req.Service, "upstream": u.ID,
 	}).Warn("no owner answered; the request was placed without its picture")
@@ -188,6 +201,12 @@
 	c.poke()
 }
 
+// outdated reports whether a grant names an upstream that leaves or left.
+func (c *Client) outdated(g Grant) bool {
+	return c.options.Gone(g.Upstream.ID) ||
+		slices.ContainsFunc(g.Helpers, func(h Helper) bool { return c.options.Gone(h.ID) })
+}
+
 // withdraw tells the owner that nobody waits for a request any more.
 func (c *Client) withdraw(req Request) {
 	c.mu.Lock()
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -52,6 +52,8 @@
 
 // Grant is a place for a request.
 type Grant struct {
+	// ID names the request in reports.
+	ID       string   `json:"id"`
 	Upstream Upstream `json:"upstream"`
 	// Helpers read parts of the prompt for the upstream.
 	Helpers []Helper `json:"helpers,omitempty"`
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -22,8 +22,13 @@
 	// pollTimeout is how long a waiting request is kept without a call of its
 	// node.
 	pollTimeout = time.Second
-	// pumpInterval is how often waiting requests are tried again.
+	// pumpInterval is how often waiting requests are tried again, and pumpPause
+	// the least time between two tries: each report of a node causes one.
 	pumpInterval = 20 * time.Millisecond
+	pumpPause    = 3 * time.Millisecond
+	// pumpMisses bounds the requests that are tried in vain at a time, so that
+	// a long queue does not use up the processor.
+	pumpMisses = 12
 	// crashLimit is how many engines a request may have crashed before it is
 	// refused, and crashMemory how long that is remembered.
 	crashLimit  = 3
@@ -58,6 +63,7 @@
 	arrived time.Time
 	// prefill is the time that one engine of normal speed needs for the prompt.
 	prefill time.Duration
+	value   float64
 	polled  time.Time
 	granted time.Time
 	grant   *Grant
@@ -119,7 +125,7 @@
 	p.poke()
 }
 
-// Run tries waiting requests again while there are any.
+// Run places waiting requests until the context ends.
 func (p *Pool) Run(ctx context.Context) error {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -132,12 +138,13 @@
 		}
 		p.mu.Lock()
 		p.pump(time.Now())
-		pause := reportTimeout
+		next := reportTimeout
 		if len(p.waiting) > 0 {
-			pause = pumpInterval
+			next = pumpInterval
 		}
 		p.mu.Unlock()
-		timer.Reset(pause)
+		pause(ctx, pumpPause)
+		timer.Reset(next)
 	}
 }
 
@@ -156,7 +163,7 @@
 	j := p.jobs[req.ID]
 	if j == nil {
 		j = p.submit(req, now)
-		p.pump(now)
+		p.poke()
 	}
 	j.polled = now
 	p.mu.Unlock()
@@ -177,7 +184,7 @@
 func (p *Pool) submit(req Request, now time.Time) *job {
 	j := &job{
 		Request: req, arrived: now, polled: now, prefill: p.model.Prefill(req.Prompt),
-		settled: make(chan struct{}),
+		value: valueOf(req.Prompt), settled: make(chan struct{}),
 	}
 	if c := p.crashes[req.Fingerprint]; req.Fingerprint != 0 && c.count >= crashLimit && now.Sub(c.at) < crashMemory {
 		p.refuse(j, Refusal{Reason: "the request crashed several engines", RetryAfter: crashMemory, Quarantined: true})
@@ -263,7 +270,7 @@
 			Prompt: run.Prompt, Output: run.Output, Gap: run.Gap,
 		},
 		arrived: now, granted: now, polled: now, settled: make(chan struct{}),
-		prefill: p.model.Prefill(run.Prompt), grant: &Grant{Upstream: s.Upstream},
+		prefill: p.model.Prefill(run.Prompt), value: valueOf(run.Prompt), grant: &Grant{ID: run.ID, Upstream: s.Upstream},
 	}
 	close(j.settled)
 	var helpers []*slot
@@ -407,14 +414,19 @@
 		return
 	}
 	p.sortWaiting(now)
+	misses := 0
 	for _, j := range slices.Clone(p.waiting) {
 		if r := p.expired(j, now); r != nil {
 			p.remove(j)
 			p.refuse(j, *r)
 			continue
 		}
+		if misses >= pumpMisses {
+			continue
+		}
 		plan, ok := p.choose(j, now)
 		if !ok {
+			misses++
 			continue
 		}
 		p.give(j, plan, now)
@@ -425,7 +437,7 @@
 func (p *Pool) give(j *job, plan plan, now time.Time) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *job) bool { return w == j })
 	j.granted = now
-	j.grant = &Grant{Upstream: plan.main.Upstream, Expected: plan.finish}
+	j.grant = &Grant{ID: j.ID, Upstream: plan.main.Upstream, Expected: plan.finish}
 	_, reserve := p.share(j.Prompt, j.Output, 1+len(plan.helpers))
 	for _, h := range plan.helpers {
 		j.grant.Helpers = append(j.grant.Helpers, Helper{ID: h.ID, Address: h.Address, Reserve: reserve})
--- a/internal/place/slot.go
+++ b/internal/place/slot.go
@@ -38,17 +38,6 @@
 // backlog returns the time until all granted prompts are read.
 func (s *slot) backlog(now time.Time) time.Duration { return max(0, s.reading.Sub(now)) }
 
-// main returns the number of requests that hold a place of the engine.
-func (s *slot) main() int {
-	n := 0
-	for _, j := range s.jobs {
-		if j.slot == s {
-			n++
-		}
-	}
-	return n
-}
-
 // fail records a failure at the engine.
 func (s *slot) fail(now time.Time) {
 	s.failures++
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -121,7 +121,7 @@
 
 // attemptEngine sends the request to an engine and passes the events on.
 func (c *call) attemptEngine(ctx context.Context, attempt int, g place.Grant, st *stream) (err error) {
-	ending := c.ending(c.placeID(attempt), place.Broken)
+	ending := c.ending(g.ID, place.Broken)
 	defer func() {
 		if ending.Outcome != place.Broken {
 			ending.Fingerprint = 0
@@ -175,7 +175,7 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return c.passFailure(resp, &ending)
 	}
-	err = c.passEvents(attemptCtx, resp, c.placeID(attempt), silence, st)
+	err = c.passEvents(attemptCtx, resp, g.ID, silence, st)
 	if err != nil {
 		return c.lost(ctx, &ending, err)
 	}
