place: pass over failed engines only while they are few

After a loss of power of all hosts engines still held requests of before; the scheduler sent short prompts to the first of them again and again (12 rejected in 1 s), and refused repeats by their largest output.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -60,6 +60,8 @@
 	queueShare = 0.4
 	// freeLoss is the loss up to which a plan counts as disturbing nobody.
 	freeLoss = 0.5
+	// maxBarred is the part of the engines that may be passed over for failures.
+	maxBarred = 0.4
 	// memorySafety is the part of an engine's memory that is planned with.
 	memorySafety = 0.97
 )
@@ -178,8 +180,9 @@
 // candidates returns the engines that may take a request, or a part of it.
 func (p *Pool) candidates(j *job, now time.Time) []candidate {
 	var free, avoided []candidate
+	barred := p.barred(now)
 	for _, s := range p.slots {
-		if !s.usable(now) {
+		if s.Leaving || barred && !s.usable(now) {
 			continue
 		}
 		c := p.candidateOf(s, now)
@@ -195,6 +198,23 @@
 	return free
 }
 
+// barred reports whether engines that failed lately are passed over. When they
+// are more than maxBarred of all, the fault is likely elsewhere, or nothing
+// better is left.
+func (p *Pool) barred(now time.Time) bool {
+	failed, all := 0, 0
+	for _, s := range p.slots {
+		if s.Leaving {
+			continue
+		}
+		all++
+		if !s.usable(now) {
+			failed++
+		}
+	}
+	return float64(failed) <= maxBarred*float64(all)
+}
+
 // room returns how many tokens an engine can hold, without a bound where the
 // model names none.
 func (p *Pool) room() int {
@@ -336,11 +356,11 @@
 }
 
 // hopeless refuses a request that cannot end in time given what waits before
-// it. The caller holds mu.
+// it. Half of the expected output counts, as answers are often shorter. The caller holds mu.
 func (p *Pool) hopeless(j *job, now time.Time) *Refusal {
 	usable := 0
 	for _, s := range p.slots {
-		if s.usable(now) {
+		if !s.Leaving {
 			usable++
 		}
 	}
@@ -350,7 +370,7 @@
 	if each, _ := p.share(j.Prompt, j.Output, min(usable, 1+maxHelpers)); each > p.room() {
 		return &Refusal{Reason: "the prompt needs more memory than the engines have", RetryAfter: time.Second}
 	}
-	need := p.shortest(j, usable)
+	need := p.shortest(j, usable) - p.output(j)/2
 	var ahead time.Duration
 	for _, w := range p.waiting {
 		if w.Priority <= j.Priority {
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -368,7 +368,7 @@
 		}).Warn("an engine failed a request and gets no new ones for a time")
 	case Rejected:
 		// The engine holds more than this node knows of, or is another one.
-		at.barred = later(at.barred, now.Add(penaltyBase/2))
+		at.fail(now)
 	}
 }
 
