place: short prompts do not wait, and are not refused, because of long ones

A short prompt was also refused for the reading time of all long ones before it.

TestQueueOfLong fails on both counts before the change. Tests of the pool for a burst of short prompts, long ones beside short streams, queued parts, prompts larger than an engine, failed engines, dead nodes and refusals.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -153,8 +153,9 @@
 	left := j.goalLeft(now) - firstSafety
 	onTime := best.finish <= left
 	free := best.loss < freeLoss
+	missed := j.prefill/time.Duration(min(len(engines), 1+maxHelpers)) > left
 	switch {
-	case free && (onTime || left < 0):
+	case free && (onTime || missed):
 		return best, true
 	case onTime && left-best.finish > patience:
 		return plan{}, false
@@ -356,7 +357,7 @@
 }
 
 // hopeless refuses a request that cannot end in time given what waits before
-// it. Half of the expected output counts, as answers are often shorter. The caller holds mu.
+// it; short prompts do not wait for long ones. Half of the expected output counts, as answers are often shorter. The caller holds mu.
 func (p *Pool) hopeless(j *job, now time.Time) *Refusal {
 	usable := 0
 	for _, s := range p.slots {
@@ -373,7 +374,7 @@
 	need := p.shortest(j, usable) - p.output(j)/2
 	var ahead time.Duration
 	for _, w := range p.waiting {
-		if w.Priority <= j.Priority {
+		if w.Priority <= j.Priority && (p.long(j) || !p.long(w)) {
 			ahead += w.prefill + p.output(w)/time.Duration(max(1, p.model.Slots))
 		}
 	}
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -26,9 +26,10 @@
 	// the least time between two tries: each report of a node causes one.
 	pumpInterval = 20 * time.Millisecond
 	pumpPause    = 3 * time.Millisecond
-	// pumpMisses bounds the requests that are tried in vain at a time, so that
-	// a long queue does not use up the processor.
-	pumpMisses = 12
+	// pumpMisses bounds the requests that are tried in vain at a time, of long
+	// and of short prompts each, so that a long queue does not use up the
+	// processor.
+	pumpMisses = 8
 	// crashLimit is how many engines a request may have crashed before it is
 	// refused, and crashMemory how long that is remembered.
 	crashLimit  = 3
@@ -414,19 +415,19 @@
 		return
 	}
 	p.sortWaiting(now)
-	misses := 0
+	misses := map[bool]int{}
 	for _, j := range slices.Clone(p.waiting) {
 		if r := p.expired(j, now); r != nil {
 			p.remove(j)
 			p.refuse(j, *r)
 			continue
 		}
-		if misses >= pumpMisses {
+		if misses[p.long(j)] >= pumpMisses {
 			continue
 		}
 		plan, ok := p.choose(j, now)
 		if !ok {
-			misses++
+			misses[p.long(j)]++
 			continue
 		}
 		p.give(j, plan, now)
