place: overdue prompts keep their engines; the shortest waiting prompt first

And the least slack put the longest of the waiting prompts first, which takes the time of five others.

--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -30,6 +30,9 @@
 	// and of short prompts each, so that a long queue does not use up the
 	// processor.
 	pumpMisses = 8
+	// agingRate is how much reading time a second of waiting makes up for: the
+	// longest prompts, of 30 s and more, wait for others half of their time.
+	agingRate = 2.0
 	// crashLimit is how many engines a request may have crashed before it is
 	// refused, and crashMemory how long that is remembered.
 	crashLimit  = 3
@@ -454,8 +457,9 @@
 }
 
 // sortWaiting orders the waiting requests: those of organisations within
-// their share first, then by priority, then those whose goal can be met by the
-// time left, then by deadline. The caller holds mu.
+// their share first, then by priority, then those whose goal has not passed,
+// then those that take least time to read. Waiting makes up for a longer prompt,
+// so that each one has its turn. The caller holds mu.
 func (p *Pool) sortWaiting(now time.Time) {
 	over := p.overShare()
 	slices.SortStableFunc(p.waiting, func(a, b *job) int {
@@ -463,11 +467,16 @@
 			compareBool(over[a.Organisation], over[b.Organisation]),
 			cmp.Compare(a.Priority, b.Priority),
 			compareBool(a.goalLeft(now) < 0, b.goalLeft(now) < 0),
-			cmp.Compare(a.goalLeft(now)-a.prefill, b.goalLeft(now)-b.prefill),
+			cmp.Compare(a.turn(now), b.turn(now)),
 		)
 	})
 }
 
+// turn orders requests of the same rank.
+func (j *job) turn(now time.Time) time.Duration {
+	return j.prefill - scale(now.Sub(j.arrived), agingRate)
+}
+
 // overShare returns the organisations that run more than an equal part of the
 // work while others wait. The caller holds mu.
 func (p *Pool) overShare() map[string]bool {
--- a/internal/place/slot.go
+++ b/internal/place/slot.go
@@ -11,6 +11,14 @@
 	// that restarts is back after some seconds.
 	penaltyBase = 500 * time.Millisecond
 	penaltyMax  = 8 * time.Second
+	// overdueBacklog is what an engine with an overdue prompt seems to have left
+	// to read: more than a part of a long prompt may wait for.
+	overdueBacklog = 2 * readOverlap
+	// overdueFactor times the expected time plus overdueBase is when a prompt
+	// that has not begun counts as lost. Engines cut off work that hangs on a
+	// dead one after 1.5 s.
+	overdueFactor = 2.0
+	overdueBase   = 1500 * time.Millisecond
 	// paceWeight is the weight of a new observation of an engine's pace.
 	paceWeight = 0.4
 	// slowPace is the pace from which an engine counts as slow, and maxPace
@@ -35,8 +43,27 @@
 	barred   time.Time
 }
 
-// backlog returns the time until all granted prompts are read.
-func (s *slot) backlog(now time.Time) time.Duration { return max(0, s.reading.Sub(now)) }
+// backlog returns the time until all granted prompts are read. A long prompt
+// that is overdue keeps its engines until it begins: newer parts would be read
+// before it.
+func (s *slot) backlog(now time.Time) time.Duration {
+	left := max(0, s.reading.Sub(now))
+	for _, j := range s.jobs {
+		if !j.begun && j.overdue(now) {
+			return max(left, overdueBacklog)
+		}
+	}
+	return left
+}
+
+// overdue reports whether a request should have begun, and may still begin.
+func (j *job) overdue(now time.Time) bool {
+	if j.grant == nil || len(j.helpers) == 0 {
+		return false
+	}
+	took := now.Sub(j.granted)
+	return took > j.grant.Expected && took < scale(j.grant.Expected, overdueFactor)+overdueBase
+}
 
 // fail records a failure at the engine.
 func (s *slot) fail(now time.Time) {
