place: ask engines for load that no host reports

As a new owner, and after a rejection, it asks the engines for their load every 250 ms until no load is unknown.

--- a/internal/gate/adapter.go
+++ b/internal/gate/adapter.go
@@ -18,6 +18,8 @@
 	Source feed.Source
 	Codec  relay.Codec
 	Memory relay.Reserver
+	// Load asks an engine for its load.
+	Load place.Inspector
 	// Document decodes the operators' document; ok is false for other keys.
 	Document func(key string, data []byte) (c *route.Config, ok bool, err error)
 	// Upstream decodes a registration; ok is false for other keys.
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -251,6 +251,7 @@
 		s.pools[service] = pool
 		s.setPool(service, pool)
 		s.group.Go("pool", pool.Run)
+		s.group.Go("inspection", func(ctx context.Context) error { return pool.Inspect(ctx, s.adapter.Load) })
 	}
 	return pool
 }
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -116,7 +116,7 @@
 
 // candidateOf sums up what runs on an engine.
 func (p *Pool) candidateOf(s *slot, now time.Time) candidate {
-	c := candidate{slot: s, backlog: s.backlog(now)}
+	c := candidate{slot: s, backlog: s.backlog(now), places: s.foreign}
 	for _, j := range s.jobs {
 		if j.slot != s {
 			continue
--- /dev/null
+++ b/internal/place/inspect.go
@@ -0,0 +1,126 @@
+package place
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+const (
+	// inspectInterval is how often engines are asked for their load while some
+	// of it is unknown; their answers are some hundred ms old.
+	inspectInterval = 250 * time.Millisecond
+	// inspectTimeout bounds one question.
+	inspectTimeout = 400 * time.Millisecond
+)
+
+// Load is what an engine says of itself.
+type Load struct {
+	// Active requests run, Queued ones wait for a place.
+	Active, Queued int
+}
+
+// Inspector asks an engine for its load.
+type Inspector func(ctx context.Context, u Upstream) (Load, error)
+
+// Inspect asks the engines for their load while this node does not know all of
+// it: as a new owner, and after an engine had no room. Requests of hosts that
+// died keep their places at engines for a time.
+func (p *Pool) Inspect(ctx context.Context, ask Inspector) error {
+	ticker := time.NewTicker(inspectInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-p.doubt:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if p.doubtful() {
+			p.inspectAll(ctx, ask)
+		}
+	}
+}
+
+// doubtful reports whether the load of engines is to be asked for. A pool that
+// nobody asks for places is left alone.
+func (p *Pool) doubtful() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unsure && len(p.jobs) > 0
+}
+
+// suspect makes the load of the engines be asked for. The caller holds mu.
+func (p *Pool) suspect() {
+	p.unsure = true
+	select {
+	case p.doubt <- struct{}{}:
+	default:
+	}
+}
+
+func (p *Pool) inspectAll(ctx context.Context, ask Inspector) {
+	p.mu.Lock()
+	var asked []Upstream
+	for _, s := range p.slots {
+		if !s.Leaving {
+			asked = append(asked, s.Upstream)
+		}
+	}
+	p.mu.Unlock()
+	var mu sync.Mutex
+	loads := map[string]Load{}
+	g := group.New(ctx)
+	for _, u := range asked {
+		g.Go("inspect", func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+			defer cancel()
+			load, err := ask(ctx, u)
+			if err != nil {
+				p.log.WithError(err).WithFields(logrus.Fields{"event": "inspection_failed", "upstream": u.ID}).
+					Debug("an engine did not tell its load")
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			loads[u.ID] = load
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		p.log.WithError(err).WithField("event", "inspection_failed").Error("the inspection of engines failed")
+		return
+	}
+	p.takeLoads(loads)
+}
+
+// takeLoads takes over what engines run beside the requests that are known.
+func (p *Pool) takeLoads(loads map[string]Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	foreign := 0
+	for id, load := range loads {
+		s := p.byID[id]
+		if s == nil {
+			continue
+		}
+		known := 0
+		for _, j := range s.jobs {
+			if j.slot == s {
+				known++
+			}
+		}
+		s.foreign = max(0, load.Active+load.Queued-known)
+		foreign += s.foreign
+	}
+	p.unsure = foreign > 0
+	if foreign > 0 {
+		p.log.WithFields(logrus.Fields{"event": "foreign_load", "service": p.service, "requests": foreign, "engines": len(loads)}).
+			Info("engines run requests that no host reports")
+	}
+	p.poke()
+}
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -54,6 +54,10 @@
 	crashes map[uint64]crash
 	heard   map[string]time.Time
 	wake    chan struct{}
+	// unsure says that engines may run requests that are not known here; doubt
+	// wakes the inspection.
+	unsure bool
+	doubt  chan struct{}
 }
 
 type crash struct {
@@ -92,6 +96,7 @@
 	return &Pool{
 		service: service, log: log, byID: map[string]*slot{}, jobs: map[string]*job{},
 		crashes: map[uint64]crash{}, heard: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		unsure: true, doubt: make(chan struct{}, 1),
 	}
 }
 
@@ -167,6 +172,9 @@
 	j := p.jobs[req.ID]
 	if j == nil {
 		j = p.submit(req, now)
+		if p.unsure && len(p.jobs) == 1 {
+			p.suspect()
+		}
 		p.poke()
 	}
 	j.polled = now
@@ -373,6 +381,7 @@
 	case Rejected:
 		// The engine holds more than this node knows of, or is another one.
 		at.fail(now)
+		p.suspect()
 	}
 }
 
--- a/internal/place/slot.go
+++ b/internal/place/slot.go
@@ -37,6 +37,9 @@
 	// to it.
 	reading time.Time
 	memory  int
+	// foreign is the number of requests that the engine runs and no host
+	// reports.
+	foreign int
 	pace    float64
 
 	failures int
