place, member: owners fill engines in orders of their own; join sooner

The order of engines now comes from the owner's name, and seeds are asked every 150 ms while no member is known.

--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -138,7 +138,7 @@
 		Feed: g.feed, Platform: g.adapter.Source, Caller: g.caller, Members: g.members, Random: newRandom(), Log: g.log,
 	})
 	g.follower.Register(g.mux)
-	g.state = newState(g.feed, g.adapter, g.group, g.log)
+	g.state = newState(s.Name, g.feed, g.adapter, g.group, g.log)
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -31,6 +31,7 @@
 
 // state is what the gateway derives from the platform's keys.
 type state struct {
+	name    string
 	feed    *feed.Feed
 	adapter Adapter
 	log     logrus.FieldLogger
@@ -56,9 +57,9 @@
 	invalid bool
 }
 
-func newState(f *feed.Feed, a Adapter, g *group.Group, log logrus.FieldLogger) *state {
+func newState(name string, f *feed.Feed, a Adapter, g *group.Group, log logrus.FieldLogger) *state {
 	return &state{
-		feed: f, adapter: a, log: log, group: g,
+		name: name, feed: f, adapter: a, log: log, group: g,
 		upstreams: map[string]*registered{}, services: map[string][]place.Upstream{},
 		gone: map[string]time.Time{}, pools: map[string]*place.Pool{},
 	}
@@ -247,7 +248,7 @@
 	defer s.mu.Unlock()
 	pool := s.pools[service]
 	if pool == nil {
-		pool = place.NewPool(service, s.log)
+		pool = place.NewPool(s.name, service, s.log)
 		s.pools[service] = pool
 		s.setPool(service, pool)
 		s.group.Go("pool", pool.Run)
--- a/internal/member/options.go
+++ b/internal/member/options.go
@@ -99,7 +99,7 @@
 	buckets       = 32
 
 	// seedsTime is how often seeds are asked while no other member is known.
-	seedsTime = 500 * time.Millisecond
+	seedsTime = 150 * time.Millisecond
 
 	hostsTime     = 30 * time.Second
 	hostsRetryMin = 500 * time.Millisecond
--- a/internal/place/inspect.go
+++ b/internal/place/inspect.go
@@ -16,6 +16,11 @@
 	inspectInterval = 250 * time.Millisecond
 	// inspectTimeout bounds one question.
 	inspectTimeout = 400 * time.Millisecond
+	// inspectIdle is how long after a request for a place inspections go on.
+	inspectIdle = 500 * time.Millisecond
+	// foreignMin is the number of unknown requests of an engine that counts:
+	// answers are older than the reports of hosts, so that one or two differ.
+	foreignMin = 3
 )
 
 // Load is what an engine says of itself.
@@ -51,7 +56,7 @@
 func (p *Pool) doubtful() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.unsure && len(p.jobs) > 0
+	return p.unsure && time.Since(p.asked) < inspectIdle
 }
 
 // suspect makes the load of the engines be asked for. The caller holds mu.
@@ -114,7 +119,10 @@
 				known++
 			}
 		}
-		s.foreign = max(0, load.Active+load.Queued-known)
+		s.foreign = load.Active + load.Queued - known
+		if s.foreign < foreignMin {
+			s.foreign = 0
+		}
 		foreign += s.foreign
 	}
 	p.unsure = foreign > 0
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/verbenapier/verbenapier/internal/cells"
 	"github.com/verbenapier/verbenapier/internal/route"
 )
 
@@ -41,6 +41,7 @@
 
 // Pool schedules the engines of one service.
 type Pool struct {
+	owner   string
 	service string
 	log     logrus.FieldLogger
 
@@ -58,6 +59,8 @@
 	// wakes the inspection.
 	unsure bool
 	doubt  chan struct{}
+	// asked is when a place was last asked for.
+	asked time.Time
 }
 
 type crash struct {
@@ -91,10 +94,10 @@
 
 func (j *job) remaining(now time.Time) time.Duration { return j.Remaining - now.Sub(j.arrived) }
 
-// NewPool returns a pool without engines.
-func NewPool(service string, log logrus.FieldLogger) *Pool {
+// NewPool returns a pool without engines. Owner is the name of its node.
+func NewPool(owner, service string, log logrus.FieldLogger) *Pool {
 	return &Pool{
-		service: service, log: log, byID: map[string]*slot{}, jobs: map[string]*job{},
+		owner: owner, service: service, log: log, byID: map[string]*slot{}, jobs: map[string]*job{},
 		crashes: map[uint64]crash{}, heard: map[string]time.Time{}, wake: make(chan struct{}, 1),
 		unsure: true, doubt: make(chan struct{}, 1),
 	}
@@ -127,7 +130,9 @@
 		}
 		p.slots = append(p.slots, s)
 	}
-	slices.SortFunc(p.slots, func(a, b *slot) int { return strings.Compare(a.ID, b.ID) })
+	// Owners fill the engines in orders of their own, so that two of them do not
+	// fill the same ones first while nodes disagree on the owner.
+	p.slots = cells.Ranked("place/"+p.owner, p.slots, func(s *slot) string { return s.ID })
 	for i, s := range p.slots {
 		s.order = i
 	}
@@ -171,10 +176,11 @@
 	now := time.Now()
 	j := p.jobs[req.ID]
 	if j == nil {
-		j = p.submit(req, now)
-		if p.unsure && len(p.jobs) == 1 {
+		if p.unsure && now.Sub(p.asked) > inspectIdle {
 			p.suspect()
 		}
+		p.asked = now
+		j = p.submit(req, now)
 		p.poke()
 	}
 	j.polled = now
--- a/internal/place/pool_test.go
+++ b/internal/place/pool_test.go
@@ -48,7 +48,7 @@
 }
 
 func newBench(t *testing.T, engineCount int) *bench {
-	b := &bench{Pool: NewPool("s", quiet()), t: t, group: group.New(t.Context())}
+	b := &bench{Pool: NewPool("n", "s", quiet()), t: t, group: group.New(t.Context())}
 	b.Set(model, tightest, engines(engineCount))
 	b.group.Go("pool", b.Run)
 	return b
@@ -112,7 +112,7 @@
 			b.begin(v.Grant.ID)
 			time.Sleep(20 * time.Millisecond)
 		}
-		require.NotContains(t, used, "e07", "24 streams fit on fewer than 8 engines: %v", used)
+		require.NotContains(t, used, b.slots[7].ID, "24 streams fit on fewer than 8 engines: %v", used)
 	})
 }
 
@@ -223,7 +223,7 @@
 				b.mu.Unlock()
 				v := b.ask(short(2000), time.Second)
 				require.NotNil(t, v.Grant)
-				require.Equal(t, !tc.barred, v.Grant.Upstream.ID == "e00")
+				require.Equal(t, !tc.barred, v.Grant.Upstream.ID == b.slots[0].ID)
 			})
 		})
 	}
