--- /dev/null
+++ b/internal/logio/writer_test.go
@@ -0,0 +1,86 @@
+package logio
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// stuck is a log whose reader does not read.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+type safeBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func newLog(out io.Writer, rate int) (*logrus.Logger, *Writer) {
+	w := New(out, &logrus.JSONFormatter{}, rate)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	log.AddHook(w)
+	return log, w
+}
+
+// Guards against a request that waits for the reader of the log.
+func TestNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := stuck{make(chan struct{})}
+		log, w := newLog(out, 1<<20)
+		g := group.New(t.Context())
+		g.Go("log", w.Run)
+		begun := time.Now()
+		for range 2*queued + 10 {
+			log.Info("line")
+		}
+		require.Zero(t, time.Since(begun), "writing took no time")
+		require.GreaterOrEqual(t, w.Dropped(), uint64(queued))
+		close(out.release)
+		g.Stop()
+		require.NoError(t, g.Wait())
+	})
+}
+
+// Guards against more lines a second than allowed, warnings that are dropped
+// for the sake of ordinary lines, and drops that nobody is told of.
+func TestRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out safeBuffer
+		log, w := newLog(&out, 100)
+		ctx, cancel := context.WithCancel(t.Context())
+		g := group.New(ctx)
+		g.Go("log", w.Run)
+		for range 500 {
+			log.Info("ordinary")
+		}
+		for range 10 {
+			log.Warn("failure")
+		}
+		time.Sleep(2 * time.Second)
+		cancel()
+		require.NoError(t, g.Wait())
+		require.Equal(t, 90, bytes.Count(out.Bytes(), []byte("ordinary")))
+		require.Equal(t, 10, bytes.Count(out.Bytes(), []byte("failure")))
+		require.Contains(t, out.String(), `"event":"log_lines_dropped","lines":410`)
+	})
+}
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -33,10 +33,13 @@
 	// agingRate is how much reading time a second of waiting makes up for: the
 	// longest prompts, of 30 s and more, wait for others half of their time.
 	agingRate = 2.0
-	// crashLimit is how many engines a request may have crashed before it is
-	// refused, and crashMemory how long that is remembered.
-	crashLimit  = 3
-	crashMemory = time.Minute
+	// crashLimit is how many engines in a row a request may have lost before it
+	// is refused: for quarantineBase, then it is tried once more, and twice as
+	// long after each further loss. A request that ends well was not the cause.
+	crashLimit     = 3
+	quarantineBase = 10 * time.Second
+	// crashMemory is how long losses are remembered.
+	crashMemory = 5 * time.Minute
 )
 
 // Pool schedules the engines of one service.
@@ -204,8 +207,8 @@
 		Request: req, arrived: now, polled: now, prefill: p.model.Prefill(req.Prompt),
 		value: valueOf(req.Prompt), settled: make(chan struct{}),
 	}
-	if c := p.crashes[req.Fingerprint]; req.Fingerprint != 0 && c.count >= crashLimit && now.Sub(c.at) < crashMemory {
-		p.refuse(j, Refusal{Reason: "the request crashed several engines", RetryAfter: crashMemory, Quarantined: true})
+	if left := p.quarantine(req.Fingerprint, now); left > 0 {
+		p.refuse(j, Refusal{Reason: "the request crashed several engines", RetryAfter: left, Quarantined: true})
 		return j
 	}
 	if r := p.hopeless(j, now); r != nil {
@@ -217,6 +220,17 @@
 	return j
 }
 
+// quarantine returns how long a request is refused for the engines that it
+// crashed. The caller holds mu.
+func (p *Pool) quarantine(fingerprint uint64, now time.Time) time.Duration {
+	c := p.crashes[fingerprint]
+	if fingerprint == 0 || c.count < crashLimit {
+		return 0
+	}
+	term := min(crashMemory, quarantineBase<<min(c.count-crashLimit, 5))
+	return term - now.Sub(c.at)
+}
+
 func (p *Pool) refuse(j *job, r Refusal) {
 	j.refusal = &r
 	close(j.settled)
@@ -356,6 +370,9 @@
 	if j != nil {
 		p.remove(j)
 	}
+	if e.Outcome == Done {
+		delete(p.crashes, e.Fingerprint)
+	}
 	if e.Outcome == Broken && e.Fingerprint != 0 {
 		c := p.crashes[e.Fingerprint]
 		p.crashes[e.Fingerprint] = crash{c.count + 1, now}
--- a/internal/place/pool_test.go
+++ b/internal/place/pool_test.go
@@ -266,6 +266,11 @@
 		v := b.ask(req, time.Second)
 		require.NotNil(t, v.Refusal)
 		require.True(t, v.Refusal.Quarantined)
+		time.Sleep(quarantineBase)
+		v = b.ask(req, time.Second)
+		require.NotNil(t, v.Grant, "it is tried once more")
+		b.Report(Report{Service: "s", Node: "n", Ended: []Ending{{ID: v.Grant.ID, Outcome: Done, Fingerprint: 7}}})
+		require.NotNil(t, b.ask(req, time.Second).Grant, "it ended well")
 
 		late := long(182_000)
 		late.Remaining = 200 * time.Millisecond
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -14,7 +14,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/verbenapier/verbenapier/internal/place"
 	"github.com/verbenapier/verbenapier/internal/route"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
@@ -235,12 +234,3 @@
 	fields["event"], fields["request"], fields["service"] = event, c.meta.ID, c.service
 	c.server.options.Log.WithFields(fields).Info(text)
 }
-
-// ending describes the end of an attempt at an engine.
-func (c *call) ending(id string, o place.Outcome) place.Ending {
-	e := place.Ending{ID: id, Outcome: o}
-	if o == place.Broken {
-		e.Fingerprint = c.fingerprint()
-	}
-	return e
-}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -121,11 +121,8 @@
 
 // attemptEngine sends the request to an engine and passes the events on.
 func (c *call) attemptEngine(ctx context.Context, attempt int, g place.Grant, st *stream) (err error) {
-	ending := c.ending(g.ID, place.Broken)
+	ending := place.Ending{ID: g.ID, Outcome: place.Broken, Fingerprint: c.fingerprint()}
 	defer func() {
-		if ending.Outcome != place.Broken {
-			ending.Fingerprint = 0
-		}
 		c.server.options.Placer.Ended(c.service, ending)
 	}()
 	helpers, held, err := c.reserve(ctx, attempt, g.Helpers)
@@ -147,6 +144,7 @@
 	p := Passing{Helpers: helpers, After: st.last, HasAfter: st.hasLast && c.started}
 	resp, err := c.send(attemptCtx, g.Upstream, p)
 	if fault.Is(err, fault.Unreachable) {
+		ending.Fingerprint = 0
 		return err
 	}
 	c.attempts++
@@ -161,8 +159,8 @@
 		if v.Fault != "" {
 			ending.Fault = c.server.options.Upstream(v.Fault)
 			ending.Outcome = place.Broken
-			ending.Fingerprint = 0
 		}
+		ending.Fingerprint = 0
 		c.decide("rejected", "an engine did not take a request", logrus.Fields{
 			"upstream": g.Upstream.ID, "status": resp.StatusCode, "fault": ending.Fault,
 		})
@@ -205,7 +203,7 @@
 // limit are no fault of the engine.
 func (c *call) lost(ctx context.Context, ending *place.Ending, err error) error {
 	if ctx.Err() != nil || fault.Is(err, fault.Canceled) {
-		ending.Outcome = place.Done
+		ending.Outcome, ending.Fingerprint = place.Done, 0
 		if fault.Is(err, fault.Canceled) {
 			return err
 		}
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,83 @@
+package retry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against nodes that together send more second attempts in a window
+// than ratio x requests + the allowance, whichever node the requests reach.
+func TestSumOverNodes(t *testing.T) {
+	cases := map[string]struct {
+		nodes int
+		share []int
+	}{
+		"even":       {4, []int{1, 1, 1, 1}},
+		"one node":   {4, []int{1, 0, 0, 0}},
+		"many nodes": {60, nil},
+	}
+	const ratio, allowance, window = 0.2, 100, 10 * time.Second
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				budgets := make([]*Budget, tc.nodes)
+				for i := range budgets {
+					budgets[i] = New(ratio, allowance, window, func() int { return tc.nodes })
+				}
+				type tick struct{ requests, repeats int }
+				var history []tick
+				for step := range 300 {
+					now := tick{}
+					for i, b := range budgets {
+						if tc.share != nil && tc.share[i] == 0 {
+							continue
+						}
+						for range 3 {
+							b.Request("s")
+							now.requests++
+							if b.Take("s") {
+								now.repeats++
+							}
+						}
+					}
+					history = append(history, now)
+					sum := tick{}
+					for _, h := range history[max(0, step-99):] {
+						sum.requests += h.requests
+						sum.repeats += h.repeats
+					}
+					require.LessOrEqual(t, float64(sum.repeats), ratio*float64(sum.requests)+allowance)
+					time.Sleep(100 * time.Millisecond)
+				}
+				total := 0
+				for _, h := range history {
+					total += h.repeats
+				}
+				require.Positive(t, total)
+			})
+		})
+	}
+}
+
+// Guards against a budget that is used up once and never again.
+func TestRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(0, 10, 10*time.Second, func() int { return 1 })
+		spend := func() (n int) {
+			for b.Take("s") {
+				n++
+			}
+			return n
+		}
+		require.Equal(t, 7, spend())
+		require.Zero(t, spend())
+		time.Sleep(12 * time.Second)
+		require.Equal(t, 7, spend())
+		time.Sleep(time.Hour)
+		require.Equal(t, 7, spend())
+		require.True(t, b.Take("other"), "services have budgets of their own")
+	})
+}
