verbenapierctl explain; page of the gateway's settings

explain reads logs of several hosts and prints what happened to a request in order, what failed around it, and the cause; lines that cannot be read are counted.

--- a/docs/operators/pages_test.go
+++ b/docs/operators/pages_test.go
@@ -26,7 +26,8 @@
 // written instead.
 func TestTables(t *testing.T) {
 	for name, table := range map[string]string{
-		"settings": settings(), "configuration": configuration(), "alarms": alarms(), "errors": errors(),
+		"settings": settings(params.Table()), "gateway-settings": settings(params.GatewayTable()),
+		"configuration": configuration(), "alarms": alarms(), "errors": errors(),
 	} {
 		t.Run(name, func(t *testing.T) {
 			data, err := os.ReadFile(name + ".md")
@@ -67,9 +68,9 @@
 	return fmt.Sprintf("`%v`", value)
 }
 
-func settings() string {
+func settings(table []params.Entry) string {
 	out := row("key", "default", "allowed", "meaning") + "|---|---|---|---|\n"
-	for _, e := range params.Table() {
+	for _, e := range table {
 		out += row("`"+e.Key+"`", fallback(e.Required, e.Default), e.Rule.Allowed, e.Meaning)
 	}
 	return out
@@ -124,7 +125,7 @@
 		require.Regexp(t, "(?m)^\\| `"+name+"[` ]", string(commands))
 	}
 	require.Equal(t, []string{
-		"alarms", "bad-configuration", "certificates", "commands", "configuration", "drain", "errors", "installing",
+		"alarms", "bad-configuration", "certificates", "commands", "configuration", "drain", "errors", "gateway-settings", "installing",
 		"mass-replacement", "models", "partition", "platform-outage", "quarantine", "settings",
 	}, cmdset.Topics())
 	refers := regexp.MustCompile("verbenapierctl help ([a-z-]+)")
--- a/internal/cmdset/run.go
+++ b/internal/cmdset/run.go
@@ -57,6 +57,7 @@
 		"cert authority":    certAuthority,
 		"cert node":         certNode,
 		"cert operator":     certOperator,
+		"explain":           explain,
 		"help":              help,
 	}
 }
