place: late prompts wait unless they can end in time and are worth what they cost

A plan that would be cut off is none, and an urgent one may cost others at most its own value. TestLargeBesideBurst fails before the change.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -29,9 +29,13 @@
 	// spareSlots is how many places of an engine short prompts leave free at
 	// first, so that the last ones go to engines that work less.
 	spareSlots = 1
-	// urgency is the multiple of its own time that a late request may have
-	// left before it is placed wherever there is room.
+	// urgency is the multiple of its reading time that a late request may have
+	// left, beside the time to write, before it is placed wherever that costs
+	// others less than it is worth.
 	urgency = 2.5
+	// likelyOutput is the part of the largest output that a request is taken to
+	// write when it is weighed whether it can end in time.
+	likelyOutput = 0.3
 	// abandonGaps times the allowed pause, at least abandonMin, is the pause
 	// after which callers give a stream up; it is lost then, not only late, and
 	// abandonLoss times its value counts, since its work is done again.
@@ -161,12 +165,19 @@
 		return plan{}, false
 	case onTime && best.loss < lateLoss*j.value:
 		return best, true
-	case j.remaining(now) < scale(p.shortest(j, len(engines)), urgency):
+	case p.urgent(j, len(engines), now) && best.loss < j.value:
 		return best, true
 	}
 	return plan{}, false
 }
 
+// urgent reports whether a request that is late has to be placed soon to end in
+// time.
+func (p *Pool) urgent(j *job, engines int, now time.Time) bool {
+	output := p.output(j)
+	return j.remaining(now) < scale(p.shortest(j, engines)-output, urgency)+output
+}
+
 // shortest returns the time that a request needs with as many engines as may
 // read its prompt.
 func (p *Pool) shortest(j *job, engines int) time.Duration {
@@ -250,7 +261,8 @@
 	bestTotal := math.Inf(1)
 	for n := 1; n <= limit; n++ {
 		pl, ok := p.planOf(j, free, n, now)
-		if !ok || found && pl.finish+p.output(j) > j.remaining(now) {
+		if !ok || pl.finish+scale(p.output(j), likelyOutput) > j.remaining(now) {
+			// It would take the engines' time and still be cut off.
 			continue
 		}
 		total := pl.loss
--- a/internal/place/pool_test.go
+++ b/internal/place/pool_test.go
@@ -279,3 +279,61 @@
 		require.Positive(t, v.Refusal.RetryAfter)
 	})
 }
+
+// Guards against a prompt that cannot end in time, or costs others more than it
+// is worth, but takes engines from short streams because it is late anyway.
+func TestLargeBesideBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 3)
+		defer b.stop()
+		for range 42 {
+			v := b.ask(short(3000), time.Second)
+			require.NotNil(t, v.Grant)
+			b.begin(v.Grant.ID)
+			time.Sleep(25 * time.Millisecond)
+		}
+		for name, tokens := range map[string]int{"too long to read": 715_000, "costs too much": 300_000} {
+			req := long(tokens)
+			req.Remaining = 13 * time.Second
+			g := group.New(t.Context())
+			g.Go("reports", func(context.Context) error {
+				for range 4 {
+					b.renew()
+					time.Sleep(time.Second)
+				}
+				return nil
+			})
+			v := b.ask(req, 4*time.Second)
+			require.Nil(t, v.Grant, name)
+			require.NoError(t, g.Wait())
+		}
+	})
+}
+
+// Guards against a short prompt that is put behind seconds of reading as soon
+// as it arrives, since its largest output would take most of its time.
+func TestShortBehindLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		defer b.stop()
+		first := long(100_000)
+		first.Remaining = 30 * time.Second
+		require.NotNil(t, b.ask(first, time.Second).Grant)
+		req := short(5000)
+		req.Output = 3500
+		require.Nil(t, b.ask(req, 300*time.Millisecond).Grant)
+	})
+}
+
+// renew reports all running requests, as nodes do.
+func (b *bench) renew() {
+	b.mu.Lock()
+	r := Report{Service: "s", Node: "n"}
+	for id, j := range b.jobs {
+		if j.grant != nil {
+			r.Running = append(r.Running, Running{ID: id, Upstream: j.slot.ID, Begun: j.begun})
+		}
+	}
+	b.mu.Unlock()
+	b.Report(r)
+}
