place: the longest prompts wait while engines are busy

While engines are busy a prompt now waits whose reading yields less than others' would, until it is urgent.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -33,6 +33,10 @@
 	// left, beside the time to write, before it is placed wherever that costs
 	// others less than it is worth.
 	urgency = 2.5
+	// priceOfReading is the value of a second of reading while all engines are
+	// busy: what a prompt of 250,000 tokens yields, so that longer ones, which
+	// yield less, wait for a quieter time or until they are urgent.
+	priceOfReading = 1.6
 	// likelyOutput is the part of the largest output that a request is taken to
 	// write when it is weighed whether it can end in time.
 	likelyOutput = 0.3
@@ -157,8 +161,11 @@
 	left := j.goalLeft(now) - firstSafety
 	onTime := best.finish <= left
 	free := best.loss < freeLoss
+	dear := p.price(engines)*j.prefill.Seconds() > lateLoss*j.value
 	missed := j.prefill/time.Duration(min(len(engines), 1+maxHelpers)) > left
 	switch {
+	case dear && !p.urgent(j, len(engines), now):
+		return plan{}, false
 	case free && (onTime || missed):
 		return best, true
 	case onTime && left-best.finish > patience:
@@ -171,6 +178,18 @@
 	return plan{}, false
 }
 
+// price returns what a second of an engine's reading is worth to others now,
+// from the part of the engines that are busy.
+func (p *Pool) price(engines []candidate) float64 {
+	busy := 0
+	for _, c := range engines {
+		if c.backlog > 0 || 2*c.places >= c.Slots {
+			busy++
+		}
+	}
+	return priceOfReading * float64(busy) / float64(len(engines))
+}
+
 // urgent reports whether a request that is late has to be placed soon to end in
 // time.
 func (p *Pool) urgent(j *job, engines int, now time.Time) bool {
