member, place, feed: hosts with most processor own services and watch the store

A member now tells its processor share; hosts with at least three quarters of the largest one own services, and the largest of a failure domain watch the store.

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -97,17 +97,26 @@
 // Two nodes with different views may both read.
 func (f *Follower) reads() bool {
 	self := f.options.Members.Self()
-	above := 0
+	better := 0
 	for _, m := range f.options.Members.Members() {
-		if m.State == member.Alive && m.FailureDomain == self.FailureDomain && rank(m) > rank(self) {
-			above++
+		if m.State == member.Alive && m.FailureDomain == self.FailureDomain && above(m, self) {
+			better++
 		}
 	}
-	return above < readersPerDomain || f.options.Feed.Age() > staleAge
+	return better < readersPerDomain || f.options.Feed.Age() > staleAge
 }
 
 func rank(m member.Member) uint64 { return xxhash.Sum64String("feed\x00" + m.Name) }
 
+// above reports whether a member watches the platform before another one: the
+// one with more capacity does.
+func above(a, b member.Member) bool {
+	if a.Capacity != b.Capacity {
+		return a.Capacity > b.Capacity
+	}
+	return rank(a) > rank(b)
+}
+
 // followPlatform watches the platform while this node is a reader.
 func (f *Follower) followPlatform(ctx context.Context) error {
 	pause := retryMin
@@ -260,7 +269,9 @@
 	}
 	readers := map[string]bool{}
 	for _, list := range domains {
-		slices.SortFunc(list, func(a, b member.Member) int { return cmp.Compare(rank(b), rank(a)) })
+		slices.SortFunc(list, func(a, b member.Member) int {
+			return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(rank(b), rank(a)))
+		})
 		for _, m := range list[:min(len(list), readersPerDomain)] {
 			readers[m.Name] = true
 		}
--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -129,6 +129,7 @@
 	g.members = member.New(member.Options{
 		Self: member.Member{
 			Name: s.Name, Address: s.Listen, PeerAddress: s.PeerListen, FailureDomain: s.FailureDomain, Region: s.Region,
+			Capacity: s.ProcessorShare,
 		},
 		Caller: g.caller, Random: newRandom(), Log: g.log, Seeds: s.Seeds,
 	})
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -21,7 +21,9 @@
 	PeerAddress   string `json:"peer_address,omitempty"`
 	FailureDomain string `json:"failure_domain,omitempty"`
 	Region        string `json:"region,omitempty"`
-	State         State  `json:"state"`
+	// Capacity is the processor share of the host, in cores; zero when unknown.
+	Capacity float64 `json:"capacity,omitempty"`
+	State    State   `json:"state"`
 	// Incarnation rises with every restart of the daemon and with every
 	// refutation of a suspicion. The start value is the start time in Unix
 	// microseconds, so a restarted daemon overrides its predecessor.
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -196,6 +196,7 @@
 	before := r.Member
 	if u.PeerAddress == "" {
 		u.Address, u.PeerAddress, u.FailureDomain, u.Region = r.Address, r.PeerAddress, r.FailureDomain, r.Region
+		u.Capacity = r.Capacity
 	}
 	r.Member = u
 	r.since = time.Now()
--- a/internal/params/gateway.go
+++ b/internal/params/gateway.go
@@ -25,6 +25,9 @@
 	Store string `json:"store"`
 	// MemoryLimit is the memory of the host's process in MiB.
 	MemoryLimit int `json:"memory_limit_mib"`
+	// ProcessorShare is the part of a core, or the cores, that the process may
+	// use.
+	ProcessorShare float64 `json:"processor_share"`
 	// GracePeriod is the time from the signal to stop until the process is
 	// killed.
 	GracePeriod time.Duration `json:"grace_period"`
@@ -57,6 +60,7 @@
 		{Key: "seeds", Default: []string{}, Rule: strict.Rule{Allowed: "a list of addresses of other gateways"}, Meaning: "peer addresses of gateways to join"},
 		{Key: "store", Required: true, Rule: address(), Meaning: "address of the platform's metadata store"},
 		{Key: "memory_limit_mib", Default: 256, Rule: strict.Between(32, 1<<20), Meaning: "memory of the process; the collector works harder from 60% of it on"},
+		{Key: "processor_share", Default: 1.0, Rule: strict.Above(0, 1024), Meaning: "processor time of the process, in cores; hosts with more of it schedule engines and watch the store"},
 		{Key: "grace_period", Default: 8 * time.Second, Rule: strict.Lasting(time.Second, time.Hour), Meaning: "time from the signal to stop until the process is killed"},
 		{Key: "address_lifetime", Default: time.Second, Rule: strict.Lasting(100*time.Millisecond, time.Minute), Meaning: "how long callers may keep an answer with addresses"},
 		{Key: "retry_ratio", Default: 0.2, Rule: strict.Between(0, 1), Meaning: "second attempts per request of a service, over all gateways"},
--- a/internal/place/client.go
+++ b/internal/place/client.go
@@ -164,17 +164,25 @@
 // EndPlain reports how a call of a plain service ended.
 func (c *Client) EndPlain(u Upstream, o Outcome) { c.local.done(u.ID, o) }
 
-// owner returns the node that schedules a service: the alive member with the
-// highest rendezvous hash among those that answered.
+// capableShare is the part of the largest host's capacity from which a host may
+// own a service: smaller ones would be slowed down by it.
+const capableShare = 0.75
+
+// owner returns the node that schedules a service: among the alive members that
+// answered and have about the largest capacity, the one with the highest
+// rendezvous hash.
 func (c *Client) owner(service string) (member.Member, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var usable []member.Member
+	largest := 0.0
 	for _, m := range c.options.Members.Members() {
 		if m.State == member.Alive && time.Since(c.barred[m.Name]) > ownerBarred {
 			usable = append(usable, m)
+			largest = max(largest, m.Capacity)
 		}
 	}
+	usable = slices.DeleteFunc(usable, func(m member.Member) bool { return m.Capacity < capableShare*largest })
 	return cells.Highest("place/"+service, usable, func(m member.Member) string { return m.Name })
 }
 
