place, relay: requests wait at most as long as their callers do

Callers give a stream up after the longest of 2 s, four times the goal and eight times the allowed pause, also before its first event. The request for a place now carries the caller's patience; what cannot begin within it is refused at once with the time at which its turn would come. TestPatience fails before the change.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -193,14 +193,20 @@
 // urgent reports whether a request that is late has to be placed soon to end in
 // time.
 func (p *Pool) urgent(j *job, engines int, now time.Time) bool {
-	output := p.output(j)
-	return j.remaining(now) < scale(p.shortest(j, engines)-output, urgency)+output
+	return p.firstLeft(j, now) < scale(p.shortest(j, engines), urgency)
 }
 
-// shortest returns the time that a request needs with as many engines as may
-// read its prompt.
+// firstLeft returns the time left until the first event comes too late: the
+// caller gives up, or the answer would be cut off.
+func (p *Pool) firstLeft(j *job, now time.Time) time.Duration {
+	waited := now.Sub(j.arrived)
+	return min(j.Patience, j.Remaining-scale(p.output(j), likelyOutput)) - waited
+}
+
+// shortest returns the time to the first event with as many engines as may read
+// the prompt.
 func (p *Pool) shortest(j *job, engines int) time.Duration {
-	return j.prefill/time.Duration(max(1, min(engines, 1+maxHelpers))) + p.output(j)
+	return j.prefill/time.Duration(max(1, min(engines, 1+maxHelpers))) + p.eventTime()
 }
 
 // eventTime is the usual time between events on a full engine.
@@ -280,8 +286,8 @@
 	bestTotal := math.Inf(1)
 	for n := 1; n <= limit; n++ {
 		pl, ok := p.planOf(j, free, n, now)
-		if !ok || pl.finish+scale(p.output(j), likelyOutput) > j.remaining(now) {
-			// It would take the engines' time and still be cut off.
+		if !ok || pl.finish > p.firstLeft(j, now) {
+			// It would take the engines' time and still come too late.
 			continue
 		}
 		total := pl.loss
@@ -402,24 +408,30 @@
 	if each, _ := p.share(j.Prompt, j.Output, min(usable, 1+maxHelpers)); each > p.room() {
 		return &Refusal{Reason: "the prompt needs more memory than the engines have", RetryAfter: time.Second}
 	}
-	need := p.shortest(j, usable) - p.output(j)/2
+	need := p.shortest(j, usable)
 	var ahead time.Duration
+	for _, s := range p.slots {
+		ahead += s.backlog(now)
+	}
 	for _, w := range p.waiting {
 		if w.Priority <= j.Priority && (p.long(j) || !p.long(w)) {
 			ahead += w.prefill + p.output(w)/time.Duration(max(1, p.model.Slots))
 		}
 	}
-	wait := ahead / time.Duration(usable)
-	if wait+need <= j.Remaining {
+	wait := time.Duration(0)
+	if p.long(j) {
+		wait = ahead / time.Duration(usable)
+	}
+	left := p.firstLeft(j, now)
+	if wait+need <= left {
 		return nil
 	}
-	return &Refusal{Reason: "the request cannot end in time", RetryAfter: max(wait-j.Remaining+need, penaltyBase)}
+	return &Refusal{Reason: "the request cannot end in time", RetryAfter: max(wait+need-left, penaltyBase)}
 }
 
 // expired refuses a waiting request that can no longer end in time.
 func (p *Pool) expired(j *job, now time.Time) *Refusal {
-	usable := max(1, min(len(p.slots), 1+maxHelpers))
-	if j.remaining(now) > j.prefill/time.Duration(usable)+p.output(j)/2 {
+	if p.firstLeft(j, now) > p.shortest(j, len(p.slots)) {
 		return nil
 	}
 	return &Refusal{Reason: "no place became free in time", RetryAfter: penaltyBase}
--- a/internal/place/client.go
+++ b/internal/place/client.go
@@ -106,14 +106,14 @@
 func (c *Client) Acquire(ctx context.Context, req Request) (Verdict, error) {
 	started := time.Now()
 	req.Node = c.options.Members.Self().Name
-	goal, remaining := req.Goal, req.Remaining
+	goal, remaining, patience := req.Goal, req.Remaining, req.Patience
 	for tries := 0; tries < ownersTried; {
 		owner, ok := c.owner(req.Service)
 		if !ok {
 			break
 		}
 		waited := time.Since(started)
-		req.Goal, req.Remaining = goal-waited, remaining-waited
+		req.Goal, req.Remaining, req.Patience = goal-waited, remaining-waited, patience-waited
 		v, err := c.ask(ctx, owner, req)
 		if ctx.Err() != nil {
 			c.withdraw(req)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -41,6 +41,8 @@
 	Goal      time.Duration `json:"goal_ns"`
 	Gap       time.Duration `json:"gap_ns"`
 	Remaining time.Duration `json:"remaining_ns"`
+	// Patience is the time left until the caller gives up without an event.
+	Patience time.Duration `json:"patience_ns"`
 	// Priority ranks requests; 0 is the highest.
 	Priority int `json:"priority"`
 	// Avoid holds the ids of upstreams that failed this request.
--- a/internal/place/pool_test.go
+++ b/internal/place/pool_test.go
@@ -60,11 +60,11 @@
 }
 
 func short(tokens int) Request {
-	return Request{Prompt: tokens, Output: 1300, Goal: 300 * time.Millisecond, Gap: tightest, Remaining: 10 * time.Second}
+	return Request{Prompt: tokens, Output: 1300, Goal: 300 * time.Millisecond, Gap: tightest, Remaining: 10 * time.Second, Patience: 2 * time.Second}
 }
 
 func long(tokens int) Request {
-	return Request{Prompt: tokens, Output: 650, Goal: 3 * time.Second, Gap: time.Second, Remaining: 15 * time.Second}
+	return Request{Prompt: tokens, Output: 650, Goal: 3 * time.Second, Gap: time.Second, Remaining: 15 * time.Second, Patience: 12 * time.Second}
 }
 
 // ask asks for a place as a node does, up to a time.
@@ -76,6 +76,7 @@
 	req.Node, req.Service = "n", "s"
 	ctx, cancel := context.WithTimeout(b.t.Context(), limit)
 	defer cancel()
+	req.Patience = min(req.Patience, req.Remaining)
 	for {
 		v := b.Acquire(ctx, req, holdTime)
 		if v.Grant != nil || v.Refusal != nil || ctx.Err() != nil {
@@ -317,7 +318,7 @@
 		b := newBench(t, 1)
 		defer b.stop()
 		first := long(100_000)
-		first.Remaining = 30 * time.Second
+		first.Remaining, first.Patience = 30*time.Second, 30*time.Second
 		require.NotNil(t, b.ask(first, time.Second).Grant)
 		req := short(5000)
 		req.Output = 3500
@@ -325,6 +326,28 @@
 	})
 }
 
+// Guards against a request that waits although its caller gives up before any
+// engine can answer.
+func TestPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		defer b.stop()
+		for range 3 {
+			req := long(100_000)
+			req.Remaining, req.Patience = time.Minute, time.Minute
+			g := group.New(t.Context())
+			g.Go("before", func(context.Context) error { b.ask(req, 5*time.Second); return nil })
+			synctest.Wait()
+			t.Cleanup(func() { require.NoError(t, g.Wait()) })
+		}
+		req := long(150_000)
+		req.Patience = 4 * time.Second
+		v := b.ask(req, 5*time.Second)
+		require.NotNil(t, v.Refusal, "others read for 4.5 s before it")
+		require.Positive(t, v.Refusal.RetryAfter)
+	})
+}
+
 // renew reports all running requests, as nodes do.
 func (b *bench) renew() {
 	b.mu.Lock()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -99,14 +99,14 @@
 func (c *call) placeID(attempt int) string { return c.meta.ID + "/" + strconv.Itoa(attempt) }
 
 func (c *call) acquire(ctx context.Context, attempt int, st *stream) (place.Verdict, error) {
-	goal := c.route.Goal - time.Since(c.arrived)
+	goal, patience := c.route.Goal-time.Since(c.arrived), c.patience()-time.Since(c.arrived)
 	if c.started {
 		// A stream that goes on must not pause.
-		goal = max(0, c.route.GapGoal-time.Since(st.recent))
+		goal, patience = max(0, c.route.GapGoal-time.Since(st.recent)), c.patience()-time.Since(st.recent)
 	}
 	return c.server.options.Placer.Acquire(ctx, place.Request{
 		ID: c.placeID(attempt), Service: c.service, Organisation: c.organisation.Name,
-		Prompt: c.meta.Prompt + c.produced(), Output: max(1, c.meta.Output-c.produced()), Goal: goal, Gap: c.route.GapGoal,
+		Prompt: c.meta.Prompt + c.produced(), Output: max(1, c.meta.Output-c.produced()), Goal: goal, Gap: c.route.GapGoal, Patience: patience,
 		Remaining: time.Until(c.deadline), Priority: c.priority(), Avoid: c.avoid, Fingerprint: c.fingerprint(),
 	})
 }
@@ -193,10 +193,14 @@
 	return silenceFactor*expected + silenceBase
 }
 
+// patience returns how long the caller waits for the next event.
+func (c *call) patience() time.Duration {
+	return max(abandonMin, abandonGaps*c.route.GapGoal, abandonGoals*c.route.Goal)
+}
+
 // maxPause returns how long an engine may be silent between events.
 func (c *call) maxPause() time.Duration {
-	patience := max(abandonMin, abandonGaps*c.route.GapGoal, abandonGoals*c.route.Goal)
-	return min(silenceMax, time.Duration(abandonShare*float64(patience)))
+	return min(silenceMax, time.Duration(abandonShare*float64(c.patience())))
 }
 
 // lost judges an attempt that broke off: the caller's leaving and the time
