--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -33,6 +33,11 @@
 	// left, beside the time to write, before it is placed wherever that costs
 	// others less than it is worth.
 	urgency = 2.5
+	// wideReading is the reading time from which a prompt takes most engines.
+	wideReading = time.Second
+	// spareEngines is the part of the engines that may be busy before the time
+	// of the others is worth something.
+	spareEngines = 0.6
 	// priceOfReading is the value of a second of reading while all engines are
 	// busy: what a prompt of 250,000 tokens yields, so that longer ones, which
 	// yield less, wait for a quieter time or until they are urgent.
@@ -187,7 +192,8 @@
 			busy++
 		}
 	}
-	return priceOfReading * float64(busy) / float64(len(engines))
+	used := float64(busy) / float64(len(engines))
+	return priceOfReading * max(0, used-spareEngines) / (1 - spareEngines)
 }
 
 // urgent reports whether a request that is late has to be placed soon to end in
@@ -409,19 +415,7 @@
 		return &Refusal{Reason: "the prompt needs more memory than the engines have", RetryAfter: time.Second}
 	}
 	need := p.shortest(j, usable)
-	var ahead time.Duration
-	for _, s := range p.slots {
-		ahead += s.backlog(now)
-	}
-	for _, w := range p.waiting {
-		if w.Priority <= j.Priority && (p.long(j) || !p.long(w)) {
-			ahead += w.prefill + p.output(w)/time.Duration(max(1, p.model.Slots))
-		}
-	}
-	wait := time.Duration(0)
-	if p.long(j) {
-		wait = ahead / time.Duration(usable)
-	}
+	wait := p.wait(j, usable, now)
 	left := p.firstLeft(j, now)
 	if wait+need <= left {
 		return nil
@@ -429,6 +423,28 @@
 	return &Refusal{Reason: "the request cannot end in time", RetryAfter: max(wait+need-left, penaltyBase)}
 }
 
+// wait estimates how long a request will wait for a place. Short prompts find
+// one beside others; long ones wait for the requests that come before them,
+// and for all engines when they need many.
+func (p *Pool) wait(j *job, usable int, now time.Time) time.Duration {
+	if !p.long(j) {
+		return 0
+	}
+	var ahead time.Duration
+	over := p.overShare()
+	for _, w := range p.waiting {
+		if p.compare(w, j, over, now) <= 0 {
+			ahead += w.prefill
+		}
+	}
+	if j.prefill > wideReading {
+		for _, s := range p.slots {
+			ahead += s.backlog(now)
+		}
+	}
+	return ahead / time.Duration(usable)
+}
+
 // expired refuses a waiting request that can no longer end in time.
 func (p *Pool) expired(j *job, now time.Time) *Refusal {
 	if p.firstLeft(j, now) > p.shortest(j, len(p.slots)) {
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -494,14 +494,17 @@
 // so that each one has its turn. The caller holds mu.
 func (p *Pool) sortWaiting(now time.Time) {
 	over := p.overShare()
-	slices.SortStableFunc(p.waiting, func(a, b *job) int {
-		return cmp.Or(
-			compareBool(over[a.Organisation], over[b.Organisation]),
-			cmp.Compare(a.Priority, b.Priority),
-			compareBool(a.goalLeft(now) < 0, b.goalLeft(now) < 0),
-			cmp.Compare(a.turn(now), b.turn(now)),
-		)
-	})
+	slices.SortStableFunc(p.waiting, func(a, b *job) int { return p.compare(a, b, over, now) })
+}
+
+// compare orders two waiting requests.
+func (p *Pool) compare(a, b *job, over map[string]bool, now time.Time) int {
+	return cmp.Or(
+		compareBool(over[a.Organisation], over[b.Organisation]),
+		cmp.Compare(a.Priority, b.Priority),
+		compareBool(a.goalLeft(now) < 0, b.goalLeft(now) < 0),
+		cmp.Compare(a.turn(now), b.turn(now)),
+	)
 }
 
 // turn orders requests of the same rank.
