--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -408,9 +408,6 @@
 			usable++
 		}
 	}
-	if usable == 0 {
-		return &Refusal{Reason: "the service has no engine", RetryAfter: penaltyBase}
-	}
 	if each, _ := p.share(j.Prompt, j.Output, min(usable, 1+maxHelpers)); each > p.room() {
 		return &Refusal{Reason: "the prompt needs more memory than the engines have", RetryAfter: time.Second}
 	}
--- a/internal/place/client.go
+++ b/internal/place/client.go
@@ -119,6 +119,9 @@
 			c.withdraw(req)
 			return Verdict{}, fault.Wrap(fault.KindOf(ctx.Err()), ctx.Err(), "waiting for a place")
 		}
+		if err == nil && v.Unready {
+			err = fault.New(fault.Unreachable, "node %s knows no engine of the service", owner.Name)
+		}
 		if err != nil {
 			c.bar(owner, req, err)
 			tries++
--- /dev/null
+++ b/internal/place/client_test.go
@@ -0,0 +1,141 @@
+package place
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/wire"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// nodes are clients with pools of their own that call each other directly.
+type nodes struct {
+	muxes   map[string]*wire.Mux
+	members []member.Member
+	// silent nodes do not answer, and gone upstreams are known to have left.
+	silent, gone map[string]bool
+}
+
+// Call implements wire.Caller.
+func (n *nodes) Call(ctx context.Context, address, method string, params, result any) error {
+	if n.silent[address] {
+		<-ctx.Done()
+		return fault.Wrap(fault.Timeout, ctx.Err(), "no answer")
+	}
+	reply, err := n.muxes[address].Serve(ctx, "caller", method, mustJSON(params))
+	if err != nil {
+		return err
+	}
+	return unmarshalInto(reply, result)
+}
+
+type view struct {
+	nodes *nodes
+	self  member.Member
+}
+
+func (v view) Self() member.Member      { return v.self }
+func (v view) Members() []member.Member { return v.nodes.members }
+
+// newNodes starts nodes; those with engines know the list of them.
+func newNodes(t *testing.T, g *group.Group, count int, capacity func(i int) float64, ready func(name string) bool) (*nodes, map[string]*Client) {
+	n := &nodes{muxes: map[string]*wire.Mux{}, silent: map[string]bool{}, gone: map[string]bool{}}
+	for i := range count {
+		name := fmt.Sprintf("n%d", i)
+		n.members = append(n.members, member.Member{Name: name, PeerAddress: name, State: member.Alive, Capacity: capacity(i)})
+	}
+	clients := map[string]*Client{}
+	for _, m := range n.members {
+		pool := NewPool(m.Name, "s", quiet())
+		if ready(m.Name) {
+			pool.Set(model, tightest, engines(4))
+		}
+		g.Go("pool", pool.Run)
+		c := NewClient(ClientOptions{
+			Members: view{n, m}, Caller: n, Pool: func(string) *Pool { return pool },
+			Upstreams: func(string) []Upstream { return engines(4) },
+			Gone:      func(id string) bool { return n.gone[id] },
+			Random:    rand.New(rand.NewPCG(1, 1)), Log: quiet(),
+		})
+		mux := wire.NewMux()
+		c.Register(mux)
+		n.muxes[m.Name] = mux
+		clients[m.Name] = c
+		g.Go("client", c.Run)
+	}
+	return n, clients
+}
+
+// Guards against a request that is refused, or waits, because the owner is
+// silent, knows no engine, is a small host, or names an engine that has left.
+func TestOwners(t *testing.T) {
+	same := func(int) float64 { return 1 }
+	all := func(string) bool { return true }
+	cases := map[string]struct {
+		capacity func(i int) float64
+		ready    func(name string) bool
+		disturb  func(n *nodes, owner string)
+		within   time.Duration
+		alone    bool
+	}{
+		"answers":         {same, all, func(*nodes, string) {}, 0, false},
+		"silent":          {same, all, func(n *nodes, owner string) { n.silent[owner] = true }, 500 * time.Millisecond, false},
+		"all silent":      {same, all, func(n *nodes, _ string) { n.silent["n1"], n.silent["n2"], n.silent["n3"] = true, true, true }, time.Second, true},
+		"knows no engine": {same, func(name string) bool { return name == "n0" }, func(*nodes, string) {}, time.Second, true},
+		"engine has left": {same, all, func(n *nodes, _ string) { n.gone["e00"], n.gone["e01"] = true, true }, time.Second, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := group.New(t.Context())
+				n, clients := newNodes(t, g, 4, tc.capacity, tc.ready)
+				owner, ok := clients["n0"].owner("s")
+				require.True(t, ok)
+				tc.disturb(n, owner.Name)
+				begun := time.Now()
+				req := short(2000)
+				req.ID, req.Service = "r", "s"
+				v, err := clients["n0"].Acquire(t.Context(), req)
+				require.NoError(t, err)
+				require.NotNil(t, v.Grant)
+				require.LessOrEqual(t, time.Since(begun), tc.within+10*time.Millisecond)
+				if owner.Name != "n0" {
+					require.Equal(t, tc.alone, v.Grant.Alone)
+				}
+				require.False(t, n.gone[v.Grant.Upstream.ID])
+				g.Stop()
+				require.NoError(t, g.Wait())
+			})
+		})
+	}
+}
+
+// Guards against a small host that owns a service while there are large ones.
+func TestOwnerIsLarge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := group.New(t.Context())
+		_, clients := newNodes(t, g, 20, func(i int) float64 {
+			if i == 7 || i == 13 {
+				return 0.8
+			}
+			return 0.192
+		}, func(string) bool { return true })
+		for _, service := range []string{"s", "t", "u", "v"} {
+			for _, c := range clients {
+				owner, ok := c.owner(service)
+				require.True(t, ok)
+				require.Contains(t, []string{"n7", "n13"}, owner.Name)
+			}
+		}
+		g.Stop()
+		require.NoError(t, g.Wait())
+	})
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -80,6 +80,9 @@
 type Verdict struct {
 	Grant   *Grant   `json:"grant,omitempty"`
 	Refusal *Refusal `json:"refusal,omitempty"`
+	// Unready says that the node knows no engine of the service, as after its
+	// start while the platform is down. Another one may.
+	Unready bool `json:"unready,omitempty"`
 }
 
 // Refusal says why a request cannot be served, and when to try again.
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -56,7 +56,6 @@
 	jobs    map[string]*job
 	waiting []*job
 	crashes map[uint64]crash
-	heard   map[string]time.Time
 	wake    chan struct{}
 	// unsure says that engines may run requests that are not known here; doubt
 	// wakes the inspection.
@@ -95,13 +94,11 @@
 
 func (j *job) goalLeft(now time.Time) time.Duration { return j.Goal - now.Sub(j.arrived) }
 
-func (j *job) remaining(now time.Time) time.Duration { return j.Remaining - now.Sub(j.arrived) }
-
 // NewPool returns a pool without engines. Owner is the name of its node.
 func NewPool(owner, service string, log logrus.FieldLogger) *Pool {
 	return &Pool{
 		owner: owner, service: service, log: log, byID: map[string]*slot{}, jobs: map[string]*job{},
-		crashes: map[uint64]crash{}, heard: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		crashes: map[uint64]crash{}, wake: make(chan struct{}, 1),
 		unsure: true, doubt: make(chan struct{}, 1),
 	}
 }
@@ -178,6 +175,10 @@
 	p.mu.Lock()
 	now := time.Now()
 	j := p.jobs[req.ID]
+	if j == nil && !slices.ContainsFunc(p.slots, func(s *slot) bool { return !s.Leaving }) {
+		p.mu.Unlock()
+		return Verdict{Unready: true}
+	}
 	if j == nil {
 		if p.unsure && now.Sub(p.asked) > inspectIdle {
 			p.suspect()
@@ -251,7 +252,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	p.heard[r.Node] = now
 	for _, e := range r.Ended {
 		p.end(e, now)
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,7 +26,3 @@
 func (m metrics) first(service string, took time.Duration) {
 	m.scope.Tagged(map[string]string{"service": service}).Timer("first_event_seconds").Record(took)
 }
-
-func (m metrics) count(name, service string) {
-	m.scope.Tagged(map[string]string{"service": service}).Counter(name).Inc(1)
-}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -75,11 +75,16 @@
 			c.resumed++
 		}
 	}
-	if c.started && ctx.Err() == nil && !fault.Is(last, fault.Canceled) {
-		return fault.Wrap(fault.UpstreamLost, last, "the stream broke off and could not go on")
-	}
-	if fault.Is(last, fault.Canceled) {
+	return c.concludeStream(ctx, last)
+}
+
+// concludeStream gives the last error of a stream its kind.
+func (c *call) concludeStream(ctx context.Context, last error) error {
+	switch {
+	case fault.Is(last, fault.Canceled):
 		return last
+	case c.started && ctx.Err() == nil:
+		return fault.Wrap(fault.UpstreamLost, last, "the stream broke off and could not go on")
 	}
 	return c.conclude(ctx, last)
 }
