--- a/cmd/verbenapier-gateway/main.go
+++ b/cmd/verbenapier-gateway/main.go
@@ -11,11 +11,11 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
 
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/gate"
+	"github.com/verbenapier/verbenapier/internal/launch"
 	"github.com/verbenapier/verbenapier/internal/logio"
 	"github.com/verbenapier/verbenapier/internal/params"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -23,14 +23,6 @@
 	adapt "github.com/verbenapier/verbenapier/platform"
 )
 
-// The exit codes.
-const (
-	exitOK      = 0
-	exitFailed  = 1
-	exitUsage   = 2
-	exitInvalid = 3
-)
-
 type options struct {
 	Settings string `long:"settings" short:"s" env:"VERBENAPIER_SETTINGS" required:"true" description:"settings file, or - for standard input"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
@@ -40,41 +32,27 @@
 
 func run() int {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var parse *flags.Error
-		if errors.As(err, &parse) && parse.Type == flags.ErrHelp {
-			return exitOK
-		}
-		return exitUsage
-	}
-	settings, err := params.ReadGateway(o.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitInvalid
-	}
-	if o.Check {
-		fmt.Println("the settings are valid")
-		return exitOK
+	settings, code, done := launch.Read(&o,
+		func() (params.Gateway, error) { return params.ReadGateway(o.Settings) }, func() bool { return o.Check })
+	if done {
+		return code
 	}
 	lines := logio.New(os.Stdout, &logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"}, settings.LogRate)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	log.AddHook(lines)
-	// The settings admit only levels that logrus knows.
-	if level, err := logrus.ParseLevel(settings.LogLevel); err == nil {
-		log.SetLevel(level)
-	}
+	launch.SetLevel(log, settings.LogLevel)
 	writing := group.New(context.Background())
 	writing.Go("log", lines.Run)
-	err = serve(settings, log, lines)
+	err := serve(settings, log, lines)
 	writing.Stop()
 	if err := writing.Wait(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
 	if err != nil {
-		return exitFailed
+		return launch.Failed
 	}
-	return exitOK
+	return launch.OK
 }
 
 func serve(settings params.Gateway, log *logrus.Logger, lines *logio.Writer) error {
@@ -114,8 +92,6 @@
 		log.WithError(err).WithField("event", "reload_failed").Error("the settings file is refused; the settings in force stay")
 		return
 	}
-	if level, err := logrus.ParseLevel(settings.LogLevel); err == nil {
-		log.SetLevel(level)
-	}
+	launch.SetLevel(log, settings.LogLevel)
 	log.WithFields(logrus.Fields{"event": "reloaded", "log_level": settings.LogLevel}).Info("the settings were read again")
 }
--- a/cmd/verbenapierd/main.go
+++ b/cmd/verbenapierd/main.go
@@ -3,29 +3,19 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/sirupsen/logrus"
 
 	"github.com/verbenapier/verbenapier/internal/daemon"
 	"github.com/verbenapier/verbenapier/internal/dialer"
+	"github.com/verbenapier/verbenapier/internal/launch"
 	"github.com/verbenapier/verbenapier/internal/params"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
-// The exit codes.
-const (
-	exitOK      = 0
-	exitFailed  = 1
-	exitUsage   = 2
-	exitInvalid = 3
-)
-
 type options struct {
 	Settings string `long:"settings" short:"s" required:"true" description:"settings file, or - for standard input"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
@@ -35,21 +25,10 @@
 
 func run() int {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		var parse *flags.Error
-		if errors.As(err, &parse) && parse.Type == flags.ErrHelp {
-			return exitOK
-		}
-		return exitUsage
-	}
-	settings, err := params.Read(o.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitInvalid
-	}
-	if o.Check {
-		fmt.Println("the settings are valid")
-		return exitOK
+	settings, code, done := launch.Read(&o,
+		func() (params.Settings, error) { return params.Read(o.Settings) }, func() bool { return o.Check })
+	if done {
+		return code
 	}
 	log := newLog(settings)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -61,17 +40,14 @@
 	if err != nil {
 		log.WithError(err).WithFields(logrus.Fields{"event": "daemon_failed", "code": fault.KindOf(err).String()}).
 			Error("the daemon ends with an error")
-		return exitFailed
+		return launch.Failed
 	}
-	return exitOK
+	return launch.OK
 }
 
 func newLog(settings params.Settings) *logrus.Logger {
 	log := logrus.New()
-	// The settings admit only levels that logrus knows.
-	if level, err := logrus.ParseLevel(settings.LogLevel); err == nil {
-		log.SetLevel(level)
-	}
+	launch.SetLevel(log, settings.LogLevel)
 	if settings.LogFormat == "json" {
 		log.SetFormatter(&logrus.JSONFormatter{})
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -13,6 +13,7 @@
 
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/engine"
+	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
@@ -30,12 +31,6 @@
 	maxPlainAnswer = 8 << 20
 )
 
-// hopHeaders are the headers that concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // newOnceTransport returns a transport that opens a connection for each
 // request. On a connection that was used before, net/http repeats a request
 // that carries Idempotency-Key when the connection breaks, which would run the
@@ -161,14 +156,14 @@
 	// caller leaves: a resend needs its outcome.
 	ctx, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), p.deadline, errTimeLimit)
 	defer cancel()
-	outcome, header, err := p.dispatchOnce(ctx)
+	outcome, received, err := p.dispatchOnce(ctx)
 	if err != nil {
 		if fault.KindOf(err).Answer().Run == fault.RunNo {
 			p.record(ctx, finish, Recorded{NotRun: true})
 		}
 		return err
 	}
-	copyHeader(w.Header(), header)
+	header.Copy(w.Header(), received)
 	p.answer(w, outcome)
 	p.record(ctx, finish, outcome)
 	return nil
@@ -234,7 +229,7 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Invalid, err, "the call cannot be passed on")
 	}
-	copyHeader(req.Header, p.request.Header)
+	header.Copy(req.Header, p.request.Header)
 	req.Header.Del("Authorization")
 	req.Header.Set(organisationHeader, p.who.organisation)
 	resp, err := client.Do(req)
@@ -247,7 +242,7 @@
 // pass copies an answer to the caller as it arrives.
 func (p *plainCall) pass(w http.ResponseWriter, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
-	copyHeader(w.Header(), resp.Header)
+	header.Copy(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
 	control := http.NewResponseController(w)
 	buf := make([]byte, 32<<10)
@@ -310,21 +305,3 @@
 	_, _ = hash.Write(p.body)
 	return [sha256.Size]byte(hash.Sum(nil))
 }
-
-// copyHeader copies all end-to-end headers.
-func copyHeader(to, from http.Header) {
-	skip := map[string]bool{"Content-Length": true}
-	for _, name := range hopHeaders {
-		skip[name] = true
-	}
-	for _, line := range from.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			skip[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	for name, values := range from {
-		if !skip[name] {
-			to[name] = append([]string(nil), values...)
-		}
-	}
-}
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -284,12 +284,5 @@
 	f.mu.Lock()
 	d = d/2 + time.Duration(f.random.Int64N(int64(d)))
 	f.mu.Unlock()
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return group.Sleep(ctx, d)
 }
--- a/internal/member/hosts.go
+++ b/internal/member/hosts.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/verbenapier/verbenapier/internal/plat"
+	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
 // hostsLoop reads the platform's host list until other members are known.
@@ -16,7 +17,7 @@
 	backoff := hostsRetryMin
 	first := true
 	// Nodes that start together must not read together.
-	if !sleep(ctx, t.jitter(hostsRetryMin)) {
+	if !group.Sleep(ctx, t.jitter(hostsRetryMin)) {
 		return ctx.Err()
 	}
 	for {
@@ -33,13 +34,13 @@
 				}
 				wait := t.jitter(backoff)
 				backoff = min(2*backoff, hostsRetryMax)
-				if !sleep(ctx, wait) {
+				if !group.Sleep(ctx, wait) {
 					return ctx.Err()
 				}
 				continue
 			}
 		}
-		if !sleep(ctx, t.jitter(hostsTime)) {
+		if !group.Sleep(ctx, t.jitter(hostsTime)) {
 			return ctx.Err()
 		}
 	}
--- a/internal/member/seeds.go
+++ b/internal/member/seeds.go
@@ -32,7 +32,7 @@
 		if !alone {
 			pause = exchangeTime
 		}
-		if !sleep(ctx, t.jitter(pause)) {
+		if !group.Sleep(ctx, t.jitter(pause)) {
 			return ctx.Err()
 		}
 	}
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -33,7 +33,7 @@
 				return nil
 			})
 		}
-		if !sleep(ctx, pushDelay) {
+		if !group.Sleep(ctx, pushDelay) {
 			return g.Wait()
 		}
 	}
@@ -154,7 +154,7 @@
 		t.mu.Lock()
 		wait := period/2 + time.Duration(t.random.Int64N(int64(period)))
 		t.mu.Unlock()
-		if !sleep(ctx, wait) {
+		if !group.Sleep(ctx, wait) {
 			return ctx.Err()
 		}
 		if t.without&Exchange != 0 {
@@ -335,15 +335,3 @@
 	}
 	return missing
 }
-
-// sleep reports false when the context ended before the time was over.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/place/client.go
+++ b/internal/place/client.go
@@ -296,7 +296,7 @@
 		full := false
 		select {
 		case <-c.wake:
-			pause(ctx, reportDelay)
+			group.Sleep(ctx, reportDelay)
 		case <-ticker.C:
 			full = true
 		case <-ctx.Done():
@@ -311,15 +311,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // reports returns what is to be told to owners. Full reports of a service end
 // with one that lists nothing, so that the owner forgets what was lost.
 func (c *Client) reports(full bool) []Report {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/place"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
@@ -161,7 +162,7 @@
 func (c *call) pass(a *answer) error {
 	h := c.w.Header()
 	closing := h.Get("Connection")
-	copyHeaders(h, a.header)
+	header.Copy(h, a.header)
 	if closing != "" {
 		h.Set("Connection", closing)
 	}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -10,34 +10,11 @@
 	"strings"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/place"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
-// connectionHeaders concern one connection only.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
-// copyHeaders copies the headers that do not concern one connection.
-func copyHeaders(to, from http.Header) {
-	skip := map[string]bool{"Content-Length": true}
-	for _, name := range connectionHeaders {
-		skip[name] = true
-	}
-	for _, line := range from.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			skip[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	for name, values := range from {
-		if !skip[name] {
-			to[name] = append([]string(nil), values...)
-		}
-	}
-}
-
 // send passes the request on. Unreachable says that nothing was sent; any other
 // error leaves open whether the request runs.
 func (c *call) send(ctx context.Context, u place.Upstream, p Passing) (*http.Response, error) {
@@ -51,7 +28,7 @@
 	if len(c.body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(c.body))
 	}
-	copyHeaders(req.Header, c.r.Header)
+	header.Copy(req.Header, c.r.Header)
 	if _, ok := req.Header["User-Agent"]; !ok {
 		// Without this net/http adds its own.
 		req.Header.Set("User-Agent", "")
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/verbenapier/verbenapier/internal/event"
+	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/place"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
@@ -324,7 +325,7 @@
 		return
 	}
 	closing := c.w.Header().Get("Connection")
-	copyHeaders(c.w.Header(), resp.Header)
+	header.Copy(c.w.Header(), resp.Header)
 	if closing != "" {
 		c.w.Header().Set("Connection", closing)
 	}
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"runtime/debug"
 	"sync"
+	"time"
 )
 
 // Group owns a set of goroutines. A goroutine that returns an error or panics
@@ -66,6 +67,18 @@
 	g.cancel(err)
 }
 
+// Sleep waits for a time and reports false when the context ended before.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func run(ctx context.Context, fn func(ctx context.Context) error) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
