--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,6 +108,8 @@
 type Reserver interface {
 	Reserve(ctx context.Context, u place.Helper, tokens int, hold time.Duration) error
 	Release(ctx context.Context, u place.Helper) error
+	// Alive returns an error when an engine does not answer.
+	Alive(ctx context.Context, u place.Upstream) error
 }
 
 // Options are the dependencies of a Server.
--- a/internal/relay/reserve.go
+++ b/internal/relay/reserve.go
@@ -20,6 +20,10 @@
 	reserveHold = 3500 * time.Millisecond
 	// reserveRenew leaves time for two renewals that get lost.
 	reserveRenew = time.Second
+	// deadChecks is how many checks in a row the engine of a request may leave
+	// unanswered, one with each renewal, before the request is taken from it.
+	// The helpers' memory is released then: within 2.5 s of its death.
+	deadChecks = 2
 	// orderTimeout bounds an order to an engine.
 	orderTimeout = 500 * time.Millisecond
 	// releaseTries is how often a release that was not answered is repeated.
@@ -30,16 +34,19 @@
 type reservation struct {
 	server  *Server
 	log     logrus.FieldLogger
+	main    place.Upstream
 	helpers []place.Helper
 	renewal *group.Group
+	// dead is called when the engine of the request does not answer.
+	dead func()
 }
 
 // reserve sets memory aside at the helpers that need it. The helpers that it
 // returns carry their tickets. On an error nothing stays reserved.
-func (c *call) reserve(ctx context.Context, attempt int, helpers []place.Helper) ([]place.Helper, *reservation, error) {
-	r := &reservation{server: c.server, log: c.server.options.Log.WithField("request", c.meta.ID)}
-	ticketed := make([]place.Helper, len(helpers))
-	for i, h := range helpers {
+func (c *call) reserve(ctx context.Context, attempt int, g place.Grant, dead func()) ([]place.Helper, *reservation, error) {
+	r := &reservation{server: c.server, log: c.server.options.Log.WithField("request", c.meta.ID), main: g.Upstream, dead: dead}
+	ticketed := make([]place.Helper, len(g.Helpers))
+	for i, h := range g.Helpers {
 		if h.Reserve > 0 {
 			h.Ticket = c.meta.ID + "-" + strconv.Itoa(attempt) + "-" + strconv.Itoa(i)
 			r.helpers = append(r.helpers, h)
@@ -47,7 +54,7 @@
 		ticketed[i] = h
 	}
 	if len(r.helpers) == 0 {
-		return helpers, nil, nil
+		return g.Helpers, nil, nil
 	}
 	if err := r.hold(ctx); err != nil {
 		r.release()
@@ -77,18 +84,34 @@
 func (r *reservation) renew(ctx context.Context) error {
 	ticker := time.NewTicker(reserveRenew)
 	defer ticker.Stop()
+	unanswered := 0
 	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return nil
 		}
+		if r.alive(ctx) {
+			unanswered = 0
+		} else if unanswered++; unanswered >= deadChecks {
+			r.log.WithFields(logrus.Fields{"event": "engine_silent", "upstream": r.main.ID}).
+				Warn("the engine of a request does not answer; its memory is released")
+			r.dead()
+			return nil
+		}
 		if err := r.hold(ctx); err != nil && ctx.Err() == nil {
 			r.log.WithError(err).WithField("event", "renewal_failed").Warn("a reservation of memory was not renewed")
 		}
 	}
 }
 
+// alive reports whether the engine of the request answers.
+func (r *reservation) alive(ctx context.Context) bool {
+	attempt, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return r.server.options.Memory.Alive(attempt, r.main) == nil || ctx.Err() != nil
+}
+
 // release ends the renewal and the reservations. It does not wait.
 func (r *reservation) release() {
 	if r == nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -131,14 +131,14 @@
 	defer func() {
 		c.server.options.Placer.Ended(c.service, ending)
 	}()
-	helpers, held, err := c.reserve(ctx, attempt, g.Helpers)
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	helpers, held, err := c.reserve(ctx, attempt, g, func() { cancel(errSilent) })
 	if err != nil {
-		ending.Outcome = place.Rejected
+		ending.Outcome, ending.Fingerprint = place.Rejected, 0
 		return err
 	}
 	defer held.release()
-	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	silence := time.AfterFunc(c.silence(g), func() { cancel(errSilent) })
 	defer silence.Stop()
 
