place, relay, route: one rule of the callers' patience; plainer names

The pause after which callers give up stood in place and relay. Load that no host reports is called that, in code and logs. No change of behaviour.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -43,13 +43,10 @@
 	// likelyOutput is the part of the largest output that a request is taken to
 	// write when it is weighed whether it can end in time.
 	likelyOutput = 0.3
-	// abandonGaps times the allowed pause, at least abandonMin, is the pause
-	// after which callers give a stream up; it is lost then, not only late, and
-	// abandonLoss times its value counts, since its work is done again.
-	abandonGaps = 8
-	abandonMin  = 2 * time.Second
+	// abandonLoss times its value is lost with a stream that its caller gives up,
+	// since its work is done again.
 	abandonLoss = 3.0
-	// abandonShare of that pause counts as all of it: engines read slower than
+	// abandonShare of the callers' patience counts as all of it: engines read slower than
 	// planned, and gateways leave an engine that is silent for 0.8 of it.
 	abandonShare = 0.6
 	// readOverlap is the reading that an engine may have left when it gets a
@@ -111,10 +108,10 @@
 	left := j.goalLeft(now) - firstSafety
 	onTime := best.finish <= left
 	free := best.loss < freeLoss
-	dear := p.price(engines)*j.prefill.Seconds() > lateLoss*j.value
+	costly := p.price(engines)*j.prefill.Seconds() > lateLoss*j.value
 	missed := j.prefill/time.Duration(min(len(engines), 1+maxHelpers)) > left
 	switch {
-	case dear && !p.urgent(j, len(engines), now):
+	case costly && !p.urgent(j, len(engines), now):
 		return plan{}, false
 	case free && (onTime || missed):
 		return best, true
--- a/internal/place/inspect.go
+++ b/internal/place/inspect.go
@@ -18,9 +18,9 @@
 	inspectTimeout = 400 * time.Millisecond
 	// inspectIdle is how long after a request for a place inspections go on.
 	inspectIdle = 500 * time.Millisecond
-	// foreignMin is the number of unknown requests of an engine that counts:
+	// unreportedMin is the number of unknown requests of an engine that counts:
 	// answers are older than the reports of hosts, so that one or two differ.
-	foreignMin = 3
+	unreportedMin = 3
 )
 
 // Load is what an engine says of itself.
@@ -41,19 +41,19 @@
 	for {
 		select {
 		case <-ticker.C:
-		case <-p.doubt:
+		case <-p.inspect:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if p.doubtful() {
+		if p.inspecting() {
 			p.inspectAll(ctx, ask)
 		}
 	}
 }
 
-// doubtful reports whether the load of engines is to be asked for. A pool that
+// inspecting reports whether the load of engines is to be asked for. A pool that
 // nobody asks for places is left alone.
-func (p *Pool) doubtful() bool {
+func (p *Pool) inspecting() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.unsure && time.Since(p.asked) < inspectIdle
@@ -63,7 +63,7 @@
 func (p *Pool) suspect() {
 	p.unsure = true
 	select {
-	case p.doubt <- struct{}{}:
+	case p.inspect <- struct{}{}:
 	default:
 	}
 }
@@ -107,7 +107,7 @@
 func (p *Pool) takeLoads(loads map[string]Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	foreign := 0
+	unreported := 0
 	for id, load := range loads {
 		s := p.byID[id]
 		if s == nil {
@@ -119,15 +119,15 @@
 				known++
 			}
 		}
-		s.foreign = load.Active + load.Queued - known
-		if s.foreign < foreignMin {
-			s.foreign = 0
+		s.unreported = load.Active + load.Queued - known
+		if s.unreported < unreportedMin {
+			s.unreported = 0
 		}
-		foreign += s.foreign
+		unreported += s.unreported
 	}
-	p.unsure = foreign > 0
-	if foreign > 0 {
-		p.log.WithFields(logrus.Fields{"event": "foreign_load", "service": p.service, "requests": foreign, "engines": len(loads)}).
+	p.unsure = unreported > 0
+	if unreported > 0 {
+		p.log.WithFields(logrus.Fields{"event": "unreported_load", "service": p.service, "requests": unreported, "engines": len(loads)}).
 			Info("engines run requests that no host reports")
 	}
 	p.poke()
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/verbenapier/verbenapier/internal/route"
 )
 
 // plan is a choice of engines for a request.
@@ -37,7 +39,7 @@
 
 // candidateOf sums up what runs on an engine.
 func (p *Pool) candidateOf(s *slot, now time.Time) candidate {
-	c := candidate{slot: s, backlog: s.backlog(now), places: s.foreign}
+	c := candidate{slot: s, backlog: s.backlog(now), places: s.unreported}
 	for _, j := range s.jobs {
 		if j.slot != s {
 			continue
@@ -51,7 +53,7 @@
 			at = len(c.streams)
 			c.streams = append(c.streams, streams{
 				gap: j.Gap, slack: p.slack(j.Gap),
-				abandon: scale(max(abandonMin, abandonGaps*j.Gap), abandonShare),
+				abandon: scale(route.Patience(0, j.Gap), abandonShare),
 			})
 		}
 		c.streams[at].count++
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -57,10 +57,10 @@
 	waiting []*job
 	crashes map[uint64]crash
 	wake    chan struct{}
-	// unsure says that engines may run requests that are not known here; doubt
+	// unsure says that engines may run requests that are not known here; inspect
 	// wakes the inspection.
-	unsure bool
-	doubt  chan struct{}
+	unsure  bool
+	inspect chan struct{}
 	// asked is when a place was last asked for.
 	asked time.Time
 }
@@ -99,7 +99,7 @@
 	return &Pool{
 		owner: owner, service: service, log: log, byID: map[string]*slot{}, jobs: map[string]*job{},
 		crashes: map[uint64]crash{}, wake: make(chan struct{}, 1),
-		unsure: true, doubt: make(chan struct{}, 1),
+		unsure: true, inspect: make(chan struct{}, 1),
 	}
 }
 
@@ -237,16 +237,6 @@
 	close(j.settled)
 }
 
-// Withdraw ends a request that waits, or a grant that was not used.
-func (p *Pool) Withdraw(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if j := p.jobs[id]; j != nil {
-		p.remove(j)
-		p.poke()
-	}
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/place/slot.go
+++ b/internal/place/slot.go
@@ -37,10 +37,10 @@
 	// to it.
 	reading time.Time
 	memory  int
-	// foreign is the number of requests that the engine runs and no host
+	// unreported is the number of requests that the engine runs and no host
 	// reports.
-	foreign int
-	pace    float64
+	unreported int
+	pace       float64
 
 	failures int
 	barred   time.Time
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -14,6 +14,7 @@
 	"github.com/verbenapier/verbenapier/internal/event"
 	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/place"
+	"github.com/verbenapier/verbenapier/internal/route"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
@@ -23,14 +24,10 @@
 	// The base covers the wait for a stalled helper.
 	silenceFactor = 3
 	silenceBase   = 1500 * time.Millisecond
-	// Callers give a stream up after abandonGaps times the allowed pause,
-	// abandonGoals times the goal or abandonMin, whichever is longest. An engine
-	// that is silent for abandonShare of that is left, at most silenceMax: work
-	// that hangs on a dead engine is cut off before that.
-	abandonGaps  = 8
-	abandonGoals = 4
-	abandonMin   = 2 * time.Second
-	abandonShare = 0.8
+	// An engine that is silent for silenceShare of the callers' patience is
+	// left, at most silenceMax: work that hangs on a dead engine is cut off
+	// before that.
+	silenceShare = 0.8
 	silenceMax   = 3 * time.Second
 )
 
@@ -201,12 +198,12 @@
 
 // patience returns how long the caller waits for the next event.
 func (c *call) patience() time.Duration {
-	return max(abandonMin, abandonGaps*c.route.GapGoal, abandonGoals*c.route.Goal)
+	return route.Patience(c.route.Goal, c.route.GapGoal)
 }
 
 // maxPause returns how long an engine may be silent between events.
 func (c *call) maxPause() time.Duration {
-	return min(silenceMax, time.Duration(abandonShare*float64(c.patience())))
+	return min(silenceMax, time.Duration(silenceShare*float64(c.patience())))
 }
 
 // lost judges an attempt that broke off: the caller's leaving and the time
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -56,6 +56,21 @@
 // attempt with an unknown outcome.
 func (r *Route) Repeatable() bool { return r.Idempotent || r.Stream && r.Resumable }
 
+const (
+	// Callers give a stream up after abandonGaps times the allowed pause,
+	// abandonGoals times the goal or abandonMin, whichever is longest, as the
+	// users' callers are said to do.
+	abandonGaps  = 8
+	abandonGoals = 4
+	abandonMin   = 2 * time.Second
+)
+
+// Patience returns how long callers wait for the next event of a stream with a
+// goal and an allowed pause.
+func Patience(goal, gap time.Duration) time.Duration {
+	return max(abandonMin, abandonGaps*gap, abandonGoals*goal)
+}
+
 // Share is a service with its part of a route's requests.
 type Share struct {
 	Service string
