feed: follow two peers, and none that is turned away itself

Ruled out: the owner (it had the change).

A source now says whether it has its keys from the platform itself; others are left at once, and each host follows two.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -41,6 +41,9 @@
 	At uint64 `json:"at"`
 	// Age is how long ago the source was known to be up to date.
 	Age time.Duration `json:"age_ns,omitempty"`
+	// Direct says that the source has its keys from the platform itself. Two
+	// nodes that are turned away must not follow each other.
+	Direct bool `json:"direct,omitempty"`
 	// Complete batches hold all keys; others the changes since a revision.
 	Complete bool `json:"complete,omitempty"`
 }
@@ -70,6 +73,8 @@
 	at      uint64
 	synced  time.Time
 	changed chan struct{}
+	// direct says that the platform answered this node's last call.
+	direct bool
 	// regained is when a batch last arrived after a gap of outageGap.
 	regained time.Time
 }
@@ -137,6 +142,13 @@
 	return removed
 }
 
+// setDirect records whether the platform answers this node.
+func (f *Feed) setDirect(direct bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.direct = direct
+}
+
 // At returns the revision up to which all changes are known, zero before the
 // first batch.
 func (f *Feed) At() uint64 {
@@ -176,7 +188,7 @@
 func (f *Feed) since(after uint64) Batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b := Batch{At: f.at, Age: time.Since(f.synced), Complete: after == 0}
+	b := Batch{At: f.at, Age: time.Since(f.synced), Direct: f.direct, Complete: after == 0}
 	for _, key := range slices.Sorted(maps.Keys(f.items)) {
 		r := f.items[key]
 		if r.Revision > after && (after > 0 || !r.Deleted) {
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -30,6 +30,9 @@
 	// peerWait is the longest wait of a watch at a peer. Two in a row fit into
 	// the two seconds in which a configuration must be in force.
 	peerWait = 600 * time.Millisecond
+	// lanes is how many peers are followed at a time. One may be turned away by
+	// the platform without an answer, which it notices after its own wait.
+	lanes = 2
 	// callSlack is added to a wait for the time on the way.
 	callSlack = 300 * time.Millisecond
 	// listTimeout bounds the reading of all keys.
@@ -65,6 +68,8 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	failed map[string]time.Time
+	// current is the peer that each lane follows.
+	current [lanes]string
 }
 
 // NewFollower returns a follower. Nothing is called before Run.
@@ -89,7 +94,9 @@
 func (f *Follower) Run(ctx context.Context) error {
 	g := group.New(ctx)
 	g.Go("feed platform", f.followPlatform)
-	g.Go("feed peers", f.followPeers)
+	for lane := range lanes {
+		g.Go("feed peers", func(ctx context.Context) error { return f.followPeers(ctx, lane) })
+	}
 	return g.Wait()
 }
 
@@ -125,6 +132,7 @@
 	for ctx.Err() == nil {
 		if !f.reads() {
 			listed = false
+			f.options.Feed.setDirect(false)
 			if !f.sleep(ctx, platformWait) {
 				break
 			}
@@ -133,6 +141,7 @@
 		batch, err := f.readPlatform(ctx, listed, at)
 		if err == nil {
 			f.options.Feed.Apply(batch, time.Now())
+			f.options.Feed.setDirect(true)
 			listed, at, pause = true, batch.At, retryMin
 			if lost {
 				f.options.Log.WithFields(logrus.Fields{"event": "platform_regained", "revision": at}).Info("the platform answers again")
@@ -148,6 +157,7 @@
 		if ctx.Err() != nil {
 			break
 		}
+		f.options.Feed.setDirect(false)
 		if !lost {
 			f.options.Log.WithError(err).WithFields(logrus.Fields{"event": "platform_lost", "revision": at}).
 				Warn("the platform does not answer; peers are followed")
@@ -172,32 +182,28 @@
 	return f.options.Platform.Watch(ctx, at, platformWait)
 }
 
-// followPeers watches one peer at a time, and another one when it fails or its
-// copy is old.
-func (f *Follower) followPeers(ctx context.Context) error {
-	var current string
+// followPeers watches one peer at a time, and another one when it fails, its
+// copy is old, or it does not have its keys from the platform itself.
+func (f *Follower) followPeers(ctx context.Context, lane int) error {
 	for ctx.Err() == nil {
-		peer, ok := f.choose(current)
+		peer, ok := f.choose(lane)
 		if !ok {
 			if !f.sleep(ctx, retryMin) {
 				break
 			}
 			continue
 		}
-		current = peer.Name
 		batch, err := f.watchPeer(ctx, peer)
 		if err != nil {
-			f.avoid(peer.Name)
-			current = ""
+			f.avoid(peer.Name, lane)
 			if !f.sleep(ctx, retryMin) {
 				break
 			}
 			continue
 		}
 		f.options.Feed.Apply(batch, time.Now())
-		if batch.Age > staleAge {
-			f.avoid(peer.Name)
-			current = ""
+		if batch.Age > staleAge || !batch.Direct {
+			f.avoid(peer.Name, lane)
 		}
 	}
 	return ctx.Err()
@@ -212,33 +218,36 @@
 	return batch, err
 }
 
-func (f *Follower) avoid(name string) {
+func (f *Follower) avoid(name string, lane int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failed[name] = time.Now()
+	f.current[lane] = ""
 }
 
-// choose returns the peer to follow: the current one while it is alive, else a
-// reader, preferably of another failure domain than this node's last choice
-// and one that has not failed lately.
-func (f *Follower) choose(current string) (member.Member, bool) {
+// choose returns the peer that a lane follows: the current one while it is
+// alive, else a reader, preferably of this node's failure domain, that has not
+// failed lately and that no other lane follows.
+func (f *Follower) choose(lane int) (member.Member, bool) {
 	self := f.options.Members.Self()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var peers []member.Member
 	for _, m := range f.options.Members.Members() {
 		if m.Name == self.Name || m.State == member.Dead {
 			continue
 		}
-		if m.Name == current && m.State == member.Alive {
+		if m.Name == f.current[lane] && m.State == member.Alive {
 			return m, true
 		}
-		peers = append(peers, m)
+		if !slices.Contains(f.current[:], m.Name) {
+			peers = append(peers, m)
+		}
 	}
 	if len(peers) == 0 {
 		return member.Member{}, false
 	}
 	readers := readersOf(peers)
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	cost := func(m member.Member) int {
 		c := 0
@@ -256,7 +265,9 @@
 		}
 		return c
 	}
-	return slices.MinFunc(peers, func(a, b member.Member) int { return cmp.Compare(cost(a), cost(b)) }), true
+	best := slices.MinFunc(peers, func(a, b member.Member) int { return cmp.Compare(cost(a), cost(b)) })
+	f.current[lane] = best.Name
+	return best, true
 }
 
 // readersOf returns the names of the members that watch the platform.
--- /dev/null
+++ b/internal/feed/follow_test.go
@@ -0,0 +1,146 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/wire"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// platform answers some nodes and is silent to others.
+type platform struct {
+	mu     sync.Mutex
+	at     uint64
+	silent map[string]bool
+}
+
+type access struct {
+	*platform
+	node string
+}
+
+func (a access) batch() (Batch, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Batch{At: a.at, Complete: true, Items: []Item{{Key: "k", Revision: a.at}}}, a.silent[a.node]
+}
+
+// List implements Source.
+func (a access) List(ctx context.Context) (Batch, error) {
+	b, silent := a.batch()
+	if silent {
+		<-ctx.Done()
+		return Batch{}, fault.Wrap(fault.PlatformDown, ctx.Err(), "silent")
+	}
+	return b, nil
+}
+
+// Watch implements Source.
+func (a access) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
+	end := time.Now().Add(wait)
+	for {
+		b, silent := a.batch()
+		if !silent && (b.At > after || !time.Now().Before(end)) {
+			b.Complete = false
+			return b, nil
+		}
+		if !group.Sleep(ctx, 10*time.Millisecond) {
+			return Batch{}, fault.Wrap(fault.PlatformDown, ctx.Err(), "silent")
+		}
+	}
+}
+
+type cluster struct {
+	muxes   map[string]*wire.Mux
+	members []member.Member
+}
+
+// Call implements wire.Caller.
+func (c *cluster) Call(ctx context.Context, address, method string, params, result any) error {
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	reply, err := c.muxes[address].Serve(ctx, "peer", method, data)
+	if err != nil {
+		return err
+	}
+	if data, err = json.Marshal(reply); err != nil {
+		return err
+	}
+	return json.Unmarshal(data, result)
+}
+
+type seen struct {
+	*cluster
+	self member.Member
+}
+
+func (s seen) Self() member.Member      { return s.self }
+func (s seen) Members() []member.Member { return s.members }
+
+// Guards against nodes that the platform turns away and that follow each other:
+// each copy is young enough for the other, and a change reaches neither in the
+// two seconds in which it must be in force.
+func TestTurnedAwayTogether(t *testing.T) {
+	const nodes, turnedAway, bound = 8, 3, 2 * time.Second
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &platform{at: 1, silent: map[string]bool{}}
+				c := &cluster{muxes: map[string]*wire.Mux{}}
+				for i := range nodes {
+					name := fmt.Sprintf("n%d", i)
+					c.members = append(c.members, member.Member{
+						Name: name, PeerAddress: name, State: member.Alive, FailureDomain: fmt.Sprintf("d%d", i%3),
+					})
+				}
+				g := group.New(t.Context())
+				feeds := map[string]*Feed{}
+				for i, m := range c.members {
+					feeds[m.Name] = newFeed()
+					f := NewFollower(Options{
+						Feed: feeds[m.Name], Platform: access{p, m.Name}, Caller: c, Members: seen{c, m},
+						Random: rand.New(rand.NewPCG(seed, uint64(i))), Log: logrus.New(),
+					})
+					f.options.Log.(*logrus.Logger).SetOutput(testWriter{})
+					c.muxes[m.Name] = wire.NewMux()
+					f.Register(c.muxes[m.Name])
+					g.Go("follower", f.Run)
+				}
+				time.Sleep(5*time.Second + time.Duration(seed)*37*time.Millisecond)
+				p.mu.Lock()
+				for _, i := range rand.New(rand.NewPCG(seed, 99)).Perm(nodes)[:turnedAway] {
+					p.silent[fmt.Sprintf("n%d", i)] = true
+				}
+				p.mu.Unlock()
+				time.Sleep(time.Duration(seed%7) * 200 * time.Millisecond)
+				p.mu.Lock()
+				p.at++
+				p.mu.Unlock()
+				time.Sleep(bound)
+				for name, f := range feeds {
+					require.Equal(t, uint64(2), f.At(), name)
+				}
+				g.Stop()
+				require.NoError(t, g.Wait())
+			})
+		})
+	}
+}
+
+type testWriter struct{}
+
+func (testWriter) Write(p []byte) (int, error) { return len(p), nil }
