feed: start the test's followers after all handlers are in place

The test filled the map of handlers while followers already called through it; a call to a missing handler panics and ends the whole group.

--- a/internal/feed/follow_test.go
+++ b/internal/feed/follow_test.go
@@ -109,6 +109,7 @@
 				}
 				g := group.New(t.Context())
 				feeds := map[string]*Feed{}
+				var followers []*Follower
 				for i, m := range c.members {
 					feeds[m.Name] = newFeed()
 					f := NewFollower(Options{
@@ -118,6 +119,10 @@
 					f.options.Log.(*logrus.Logger).SetOutput(testWriter{})
 					c.muxes[m.Name] = wire.NewMux()
 					f.Register(c.muxes[m.Name])
+					followers = append(followers, f)
+				}
+				// All handlers are in place before the first call.
+				for _, f := range followers {
 					g.Go("follower", f.Run)
 				}
 				time.Sleep(5*time.Second + time.Duration(seed)*37*time.Millisecond)
