relay: leave a silent engine only for a place elsewhere

Change: while an engine is silent another place is looked for, and the engine is left only when one was found and the budget allows it. Requests that may not be repeated stay with their engine until the caller's time is over.

Ruled out: the change of the configuration itself (time limits are taken at arrival); the end of the engine (its run ended 5 ms before the connection).

--- a/internal/place/pool_test.go
+++ b/internal/place/pool_test.go
@@ -239,7 +239,9 @@
 		b.Report(Report{Service: "s", Node: "n", Full: true, Running: []Running{
 			{ID: "old", Upstream: "e00", Prompt: 5000, Output: 100, Gap: tightest, Begun: true},
 		}})
+		b.mu.Lock()
 		require.Len(t, b.byID["e00"].jobs, 1, "the new owner learns of a running request")
+		b.mu.Unlock()
 		time.Sleep(reportTimeout + pumpInterval)
 		b.poke()
 		synctest.Wait()
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -33,10 +33,13 @@
 	service      string
 	organisation route.Organisation
 	body         []byte
+	hash         uint64
 	deadline     time.Time
 
 	attempts int
-	avoid    []string
+	// placements counts the places asked for.
+	placements int
+	avoid      []string
 	// dispatched says that an upstream may have run the request.
 	dispatched bool
 	upstream   string
@@ -131,11 +134,15 @@
 
 // fingerprint identifies a request that comes again.
 func (c *call) fingerprint() uint64 {
+	if c.hash != 0 {
+		return c.hash
+	}
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(c.organisation.Name + "\x00" + c.r.Host + "\x00" + c.r.RequestURI + "\x00")
 	_, _ = d.Write(c.body)
-	return d.Sum64()
+	c.hash = max(1, d.Sum64())
+	return c.hash
 }
 
 // ended turns the end of a context into an error: the caller left, or the time
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,36 +47,46 @@
 func (c *call) runEngine(ctx context.Context) error {
 	st := &stream{last: c.meta.After, hasLast: c.meta.HasAfter}
 	var last error
+	var next *place.Grant
 	for connects := 0; connects < maxConnects && ctx.Err() == nil; connects++ {
-		v, err := c.acquire(ctx, connects, st)
-		if err != nil {
-			return c.conclude(ctx, err)
-		}
-		if v.Refusal != nil {
-			return c.refused(ctx, *v.Refusal)
+		grant := next
+		if grant == nil {
+			v, err := c.server.options.Placer.Acquire(ctx, c.placement(st, 0))
+			if err != nil {
+				return c.conclude(ctx, err)
+			}
+			if v.Refusal != nil {
+				return c.refused(ctx, *v.Refusal)
+			}
+			grant = v.Grant
 		}
-		err = c.attemptEngine(ctx, connects, *v.Grant, st)
-		if err == nil {
+		next, last = c.attemptEngine(ctx, connects, *grant, st)
+		if last == nil {
 			return nil
 		}
-		last = err
-		c.avoid = append(c.avoid, v.Grant.Upstream.ID)
-		if ctx.Err() != nil || fault.Is(err, fault.Canceled) {
+		c.avoid = append(c.avoid, grant.Upstream.ID)
+		if next == nil && c.final(ctx, last) {
 			break
 		}
-		if fault.Is(err, fault.Unreachable) {
-			continue
-		}
-		if c.dispatched && !c.route.Repeatable() || !c.nextAttempt() {
-			break
-		}
-		if c.started {
+		if c.started && !fault.Is(last, fault.Unreachable) {
 			c.resumed++
 		}
 	}
+	c.giveBack(next)
 	return c.concludeStream(ctx, last)
 }
 
+// final reports whether a request that failed is not sent to another engine.
+func (c *call) final(ctx context.Context, err error) bool {
+	switch {
+	case ctx.Err() != nil || fault.Is(err, fault.Canceled):
+		return true
+	case fault.Is(err, fault.Unreachable):
+		return false
+	}
+	return c.dispatched && !c.route.Repeatable() || !c.nextAttempt()
+}
+
 // concludeStream gives the last error of a stream its kind.
 func (c *call) concludeStream(ctx context.Context, last error) error {
 	switch {
@@ -98,20 +109,37 @@
 	return refuse(fault.Overloaded, r.RetryAfter, "%s", r.Reason)
 }
 
-// placeID names an attempt at the scheduler.
-func (c *call) placeID(attempt int) string { return c.meta.ID + "/" + strconv.Itoa(attempt) }
-
-func (c *call) acquire(ctx context.Context, attempt int, st *stream) (place.Verdict, error) {
-	goal, patience := c.route.Goal-time.Since(c.arrived), c.patience()-time.Since(c.arrived)
+// placement describes the request to the scheduler, as of a time from now.
+func (c *call) placement(st *stream, in time.Duration) place.Request {
+	now := time.Now().Add(in)
+	goal, patience := c.route.Goal-now.Sub(c.arrived), c.patience()-now.Sub(c.arrived)
 	if c.started {
 		// A stream that goes on must not pause.
-		goal, patience = max(0, c.route.GapGoal-time.Since(st.recent)), c.patience()-time.Since(st.recent)
+		goal, patience = max(0, c.route.GapGoal-now.Sub(st.recent)), c.patience()-now.Sub(st.recent)
+	}
+	c.placements++
+	return place.Request{
+		ID:      c.meta.ID + "/" + strconv.Itoa(c.placements),
+		Service: c.service, Organisation: c.organisation.Name,
+		Prompt: c.meta.Prompt + c.produced(), Output: max(1, c.meta.Output-c.produced()),
+		Goal: goal, Gap: c.route.GapGoal, Patience: patience, Remaining: c.deadline.Sub(now),
+		Priority: c.priority(), Avoid: c.avoid, Fingerprint: c.fingerprint(),
+	}
+}
+
+// seekPlacement describes the request when its engine has been silent for a
+// time.
+func (c *call) seekPlacement(st *stream, silence time.Duration, g place.Grant) place.Request {
+	req := c.placement(st, silence)
+	req.Avoid = append(slices.Clone(c.avoid), g.Upstream.ID)
+	return req
+}
+
+// giveBack returns a place that is not used.
+func (c *call) giveBack(g *place.Grant) {
+	if g != nil {
+		c.server.options.Placer.Ended(c.service, place.Ending{ID: g.ID, Outcome: place.Done})
 	}
-	return c.server.options.Placer.Acquire(ctx, place.Request{
-		ID: c.placeID(attempt), Service: c.service, Organisation: c.organisation.Name,
-		Prompt: c.meta.Prompt + c.produced(), Output: max(1, c.meta.Output-c.produced()), Goal: goal, Gap: c.route.GapGoal, Patience: patience,
-		Remaining: time.Until(c.deadline), Priority: c.priority(), Avoid: c.avoid, Fingerprint: c.fingerprint(),
-	})
 }
 
 // produced returns the number of tokens that the caller has received.
@@ -122,69 +150,95 @@
 	return 0
 }
 
-// attemptEngine sends the request to an engine and passes the events on.
-func (c *call) attemptEngine(ctx context.Context, attempt int, g place.Grant, st *stream) (err error) {
-	ending := place.Ending{ID: g.ID, Outcome: place.Broken, Fingerprint: c.fingerprint()}
-	defer func() {
-		c.server.options.Placer.Ended(c.service, ending)
-	}()
+// attempt is one sending of a request to an engine.
+type attempt struct {
+	number  int
+	grant   place.Grant
+	helpers []place.Helper
+	seek    *seeker
+	ending  place.Ending
+}
+
+// attemptEngine sends the request to an engine and passes the events on. It
+// returns the place for the next attempt when it left a silent engine.
+func (c *call) attemptEngine(ctx context.Context, number int, g place.Grant, st *stream) (next *place.Grant, err error) {
+	a := &attempt{number: number, grant: g, ending: place.Ending{ID: g.ID, Outcome: place.Broken, Fingerprint: c.fingerprint()}}
+	defer func() { c.server.options.Placer.Ended(c.service, a.ending) }()
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	helpers, held, err := c.reserve(ctx, attempt, g, func() { cancel(errSilent) })
+	helpers, held, err := c.reserve(ctx, number, g, func() { cancel(errSilent) })
 	if err != nil {
-		ending.Outcome, ending.Fingerprint = place.Rejected, 0
-		return err
+		a.ending.Outcome, a.ending.Fingerprint = place.Rejected, 0
+		return nil, err
 	}
 	defer held.release()
-	silence := time.AfterFunc(c.silence(g), func() { cancel(errSilent) })
-	defer silence.Stop()
+	a.helpers, a.seek = helpers, c.newSeeker(attemptCtx, cancel)
+	err = c.exchange(attemptCtx, a, st)
+	next = a.seek.stop()
+	if fault.Is(err, fault.UpstreamLost) || fault.Is(err, fault.Canceled) {
+		err = c.lost(ctx, a, err)
+	}
+	if err == nil || fault.Is(err, fault.Canceled) {
+		c.giveBack(next)
+		next = nil
+	}
+	return next, err
+}
 
-	c.upstream = g.Upstream.ID
+// exchange sends the request to the engine of an attempt and judges the answer.
+func (c *call) exchange(ctx context.Context, a *attempt, st *stream) error {
+	u := a.grant.Upstream
+	c.upstream = u.ID
+	wait := c.silence(a.grant)
+	a.seek.watch(wait, c.seekPlacement(st, wait, a.grant))
 	c.decide("sent", "a request was sent to an engine", logrus.Fields{
-		"upstream": g.Upstream.ID, "address": g.Upstream.Address, "attempt": attempt + 1, "helpers": len(g.Helpers),
-		"expected_ms": g.Expected.Milliseconds(), "alone": g.Alone,
+		"upstream": u.ID, "address": u.Address, "attempt": a.number + 1, "helpers": len(a.grant.Helpers),
+		"expected_ms": a.grant.Expected.Milliseconds(), "alone": a.grant.Alone,
 	})
-	p := Passing{Helpers: helpers, After: st.last, HasAfter: st.hasLast && c.started}
-	resp, err := c.send(attemptCtx, g.Upstream, p)
+	resp, err := c.send(ctx, u, Passing{Helpers: a.helpers, After: st.last, HasAfter: st.hasLast && c.started})
 	if fault.Is(err, fault.Unreachable) {
-		ending.Fingerprint = 0
+		a.ending.Fingerprint = 0
 		return err
 	}
 	c.attempts++
 	if err != nil {
 		c.dispatched = true
-		return c.lost(ctx, &ending, err)
+		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	v := c.server.options.Codec.Judge(resp)
 	if v.NotRun || v.Misdirected {
-		ending.Outcome = place.Rejected
-		if v.Fault != "" {
-			ending.Fault = c.server.options.Upstream(v.Fault)
-			ending.Outcome = place.Broken
-		}
-		ending.Fingerprint = 0
-		c.decide("rejected", "an engine did not take a request", logrus.Fields{
-			"upstream": g.Upstream.ID, "status": resp.StatusCode, "fault": ending.Fault,
-		})
-		return fault.New(fault.Refused, "engine %s refused the request with status %d", g.Upstream.ID, resp.StatusCode)
+		return c.rejected(a, resp, v)
 	}
 	c.dispatched = true
 	if err := c.trust(resp, v); err != nil {
 		return err
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		return c.passFailure(resp, &ending)
+		return c.passFailure(resp, &a.ending)
 	}
-	err = c.passEvents(attemptCtx, resp, g.ID, silence, st)
-	if err != nil {
-		return c.lost(ctx, &ending, err)
+	if err := c.passEvents(ctx, resp, a, st); err != nil {
+		return err
 	}
-	ending.Outcome = place.Done
-	ending.Pace = c.pace(st)
+	a.ending.Outcome = place.Done
+	a.ending.Pace = c.pace(st)
 	return nil
 }
 
+// rejected judges an engine that did not run the request, or names another one
+// that kept it from that.
+func (c *call) rejected(a *attempt, resp *http.Response, v Verdict) error {
+	a.ending.Outcome, a.ending.Fingerprint = place.Rejected, 0
+	if v.Fault != "" {
+		a.ending.Fault = c.server.options.Upstream(v.Fault)
+		a.ending.Outcome = place.Broken
+	}
+	c.decide("rejected", "an engine did not take a request", logrus.Fields{
+		"upstream": a.grant.Upstream.ID, "status": resp.StatusCode, "fault": a.ending.Fault,
+	})
+	return fault.New(fault.Refused, "engine %s refused the request with status %d", a.grant.Upstream.ID, resp.StatusCode)
+}
+
 // silence returns how long the engine may be silent before the first event.
 func (c *call) silence(g place.Grant) time.Duration {
 	expected := g.Expected
@@ -208,16 +262,16 @@
 
 // lost judges an attempt that broke off: the caller's leaving and the time
 // limit are no fault of the engine.
-func (c *call) lost(ctx context.Context, ending *place.Ending, err error) error {
+func (c *call) lost(ctx context.Context, a *attempt, err error) error {
 	if ctx.Err() != nil || fault.Is(err, fault.Canceled) {
-		ending.Outcome, ending.Fingerprint = place.Done, 0
+		a.ending.Outcome, a.ending.Fingerprint = place.Done, 0
 		if fault.Is(err, fault.Canceled) {
 			return err
 		}
 		return c.ended(ctx)
 	}
 	c.decide("broken", "an engine broke off a request", logrus.Fields{
-		"upstream": c.upstream, "events": c.events, "error": err.Error(), "resumable": c.route.Resumable,
+		"upstream": a.grant.Upstream.ID, "events": c.events, "error": err.Error(), "resumable": c.route.Resumable,
 	})
 	return err
 }
@@ -248,7 +302,7 @@
 }
 
 // passEvents copies whole events to the caller until the stream ends.
-func (c *call) passEvents(ctx context.Context, resp *http.Response, id string, silence *time.Timer, st *stream) error {
+func (c *call) passEvents(ctx context.Context, resp *http.Response, a *attempt, st *stream) error {
 	var split event.Splitter
 	buf := c.server.bodies.Get().(*[]byte)
 	defer c.server.bodies.Put(buf)
@@ -268,7 +322,7 @@
 					return fault.New(fault.UpstreamLost, "the stream goes on at event %d instead of %d", e.ID, st.last+1)
 				}
 				fresh = false
-				c.server.options.Placer.Begun(c.service, id)
+				c.server.options.Placer.Begun(c.service, a.grant.ID)
 			}
 			if err := c.passEvent(resp, e, st); err != nil {
 				return err
@@ -276,7 +330,7 @@
 			wrote = true
 		}
 		if wrote {
-			silence.Reset(pause)
+			a.seek.watch(pause, c.seekPlacement(st, pause, a.grant))
 			if err := http.NewResponseController(c.w).Flush(); err != nil {
 				return fault.Wrap(fault.Canceled, err, "the caller left")
 			}
