wire: dial anew when a try to connect hangs

The five that started before the seeds dialled hosts without power; those packets are lost, each try hung for the 0.9 s of an exchange, and the hosts found each other at 37.24 to 37.45 s. Meanwhile each one alone scheduled the engines (unreported_load 40 to 167), and nine requests passed over an owner that was up: 'waiting to dial', behind the dial that hung.

Change: a try takes 200 ms at first, then twice as long, within the same second. TestLostDials fails before.

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -18,6 +18,11 @@
 
 const (
 	dialTimeout = time.Second
+	// firstDial is how long the first try to connect may take; each further one
+	// may take twice as long. A packet to a host without power is lost, and the
+	// kernel sends it again only after a second, when the host may be long back.
+	// It is several times the way between regions.
+	firstDial = 200 * time.Millisecond
 	// redialDelay is how long a failed dial is remembered, so that many calls
 	// to a dead peer do not each dial it.
 	redialDelay = 250 * time.Millisecond
@@ -179,9 +184,7 @@
 	if p.failure != nil && time.Since(p.failedAt) < redialDelay {
 		return nil, p.failure
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := c.dial(dialCtx, p.address)
+	conn, err := p.dial(ctx, c)
 	if err != nil {
 		p.failedAt = time.Now()
 		p.failure = fault.Wrap(fault.Unreachable, err, "cannot reach peer %s", p.address)
@@ -193,6 +196,21 @@
 	return l, nil
 }
 
+// dial opens a connection, and begins anew when a try hangs.
+func (p *peer) dial(ctx context.Context, c *Client) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	for timeout := firstDial; ; timeout *= 2 {
+		try, end := context.WithTimeout(ctx, timeout)
+		conn, err := c.dial(try, p.address)
+		hung := try.Err() != nil
+		end()
+		if err == nil || !hung || ctx.Err() != nil {
+			return conn, err
+		}
+	}
+}
+
 // link is one connection to a peer.
 type link struct {
 	raw     *trackedConn
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -26,6 +26,8 @@
 	once   sync.Once
 	dials  atomic.Int64
 	refuse atomic.Bool
+	// lost is how many dials get no answer, as those to a host without power.
+	lost atomic.Int64
 
 	mu    sync.Mutex
 	conns []*silentConn
@@ -51,6 +53,10 @@
 	if p.refuse.Load() {
 		return nil, errors.New("connection refused")
 	}
+	if p.lost.Add(-1) >= 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	near, far := net.Pipe()
 	c := &silentConn{Conn: near}
 	p.mu.Lock()
@@ -206,6 +212,20 @@
 	})
 }
 
+// Guards against hosts that find each other a second late after a loss of power:
+// the first packets to a host that starts later are lost.
+func TestLostDials(t *testing.T) {
+	// Members end an exchange with a seed after this time.
+	const joinTime = 900 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		network, client, _ := start(t)
+		network.lost.Store(2)
+		text, err := call(t, client, "echo", joinTime)
+		require.NoError(t, err)
+		require.Equal(t, "hello", text)
+	})
+}
+
 // Guards against a failed handshake that ends the whole daemon: the connection
 // that authentication did not return was closed.
 func TestFailedHandshake(t *testing.T) {
