place: a long part keeps its engines until the prompt begins

Change: engines with an unfinished long part are taken for busy until the first event, or until the prompt counts as lost. Test: TestPartsWaitForTheFirstEvent.

Engines stand idle meanwhile.

--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -157,7 +157,7 @@
 		c := &free[i]
 		c.loss = c.disturbed(c.backlog+scale(part, c.pace), long, p.gap)
 	}
-	limit := j.goalLeft(now) - firstSafety - scale(p.eventTime(), firstEvents+passWait)
+	limit := j.goalLeft(now) - firstSafety - p.firstDelay()
 	slices.SortFunc(free, func(a, b candidate) int {
 		if long {
 			return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.backlog, b.backlog), cmp.Compare(b.order, a.order))
@@ -185,10 +185,13 @@
 		pl.helpers = append(pl.helpers, free[i].slot)
 		add(free[i])
 	}
-	pl.finish += scale(p.eventTime(), firstEvents+passWait)
+	pl.finish += p.firstDelay()
 	return pl, len(pl.helpers) == n-1
 }
 
+// firstDelay is the time from the end of reading to the first event.
+func (p *Pool) firstDelay() time.Duration { return scale(p.eventTime(), firstEvents+passWait) }
+
 // compareShort orders engines for a short prompt: those on which it is on time
 // and disturbs nobody, in their fixed order up to spareSlots places, so that
 // the last engines stay free for long prompts.
--- a/internal/place/pool_test.go
+++ b/internal/place/pool_test.go
@@ -157,6 +157,26 @@
 	})
 }
 
+// Guards against a prompt whose reading takes a little longer than expected and
+// that waits for all of the next one: engines read the newest part first.
+func TestPartsWaitForTheFirstEvent(t *testing.T) {
+	const slack = 200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 4)
+		defer b.stop()
+		first := b.ask(long(100_000), time.Second)
+		require.NotNil(t, first.Grant)
+		second := b.ask(long(100_000), first.Grant.Expected+slack)
+		require.Nil(t, second.Grant, "the first prompt has not begun")
+		b.begin(first.Grant.ID)
+		synctest.Wait()
+		time.Sleep(pumpInterval)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		require.NotNil(t, b.jobs["r2"].grant, "the engines are free")
+	})
+}
+
 // Guards against long prompts that find no engine and keep short ones behind
 // them from being tried at all.
 func TestQueueOfLong(t *testing.T) {
--- a/internal/place/slot.go
+++ b/internal/place/slot.go
@@ -11,9 +11,9 @@
 	// that restarts is back after some seconds.
 	penaltyBase = 500 * time.Millisecond
 	penaltyMax  = 8 * time.Second
-	// overdueBacklog is what an engine with an overdue prompt seems to have left
-	// to read: more than a part of a long prompt may wait for.
-	overdueBacklog = 2 * readOverlap
+	// keptBacklog is what an engine whose long prompt has not begun has left to
+	// read at least: more than a part of a long prompt may wait for.
+	keptBacklog = 2 * readOverlap
 	// overdueFactor times the expected time plus overdueBase is when a prompt
 	// that has not begun counts as lost. Engines cut off work that hangs on a
 	// dead one after 1.5 s.
@@ -46,26 +46,25 @@
 	barred   time.Time
 }
 
-// backlog returns the time until all granted prompts are read. A long prompt
-// that is overdue keeps its engines until it begins: newer parts would be read
-// before it.
+// backlog returns the time until all granted prompts are read. A part of a long
+// prompt keeps its engine until the prompt begins: newer parts would be read
+// before it, so that an estimate that is a little short would cost it the whole
+// time of the next one.
 func (s *slot) backlog(now time.Time) time.Duration {
 	left := max(0, s.reading.Sub(now))
 	for _, j := range s.jobs {
-		if !j.begun && j.overdue(now) {
-			return max(left, overdueBacklog)
+		if j.keeps(now) {
+			return max(left, keptBacklog)
 		}
 	}
 	return left
 }
 
-// overdue reports whether a request should have begun, and may still begin.
-func (j *job) overdue(now time.Time) bool {
-	if j.grant == nil || len(j.helpers) == 0 {
-		return false
-	}
-	took := now.Sub(j.granted)
-	return took > j.grant.Expected && took < scale(j.grant.Expected, overdueFactor)+overdueBase
+// keeps reports whether a request keeps its engines: it has a long part to be
+// read, and may still begin.
+func (j *job) keeps(now time.Time) bool {
+	return j.grant != nil && !j.begun && j.part > readOverlap &&
+		now.Sub(j.granted) < scale(j.grant.Expected, overdueFactor)+overdueBase
 }
 
 // fail records a failure at the engine.
