place, relay: engines are never taken for faster than normal

The pace of the engine was 0.7: the time between events was compared with that of a full engine whose streams all have as long a context, and reading was scaled by it. The mean also counted pauses in which the engine read other prompts.

Change: the pace is the median pause against an engine without other streams, and one below 1.4 counts as normal.

--- a/internal/place/pool_test.go
+++ b/internal/place/pool_test.go
@@ -177,6 +177,37 @@
 	})
 }
 
+// Guards against an engine that is taken for a faster reader because its streams
+// had it for themselves, and against a slow one that is not noticed.
+func TestPace(t *testing.T) {
+	for name, tc := range map[string]struct {
+		pace     float64
+		at, most float64
+	}{
+		"few streams": {0.4, 1, 1.1},
+		"usual":       {1.2, 1, 1.1},
+		"slow":        {3, 1.5, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 1)
+				defer b.stop()
+				for range 2 {
+					v := b.ask(short(2000), time.Second)
+					require.NotNil(t, v.Grant)
+					b.begin(v.Grant.ID)
+					b.Report(Report{Service: "s", Node: "n", Ended: []Ending{{ID: v.Grant.ID, Outcome: Done, Pace: tc.pace}}})
+				}
+				v := b.ask(long(40_000), time.Second)
+				require.NotNil(t, v.Grant)
+				read := float64(v.Grant.Expected-b.firstDelay()) / float64(model.Prefill(40_000))
+				require.GreaterOrEqual(t, read, tc.at)
+				require.LessOrEqual(t, read, tc.most)
+			})
+		})
+	}
+}
+
 // Guards against long prompts that find no engine and keep short ones behind
 // them from being tried at all.
 func TestQueueOfLong(t *testing.T) {
--- a/internal/place/slot.go
+++ b/internal/place/slot.go
@@ -22,9 +22,11 @@
 	// paceWeight is the weight of a new observation of an engine's pace.
 	paceWeight = 0.4
 	// slowPace is the pace from which an engine counts as slow, and maxPace
-	// the slowest pace that is believed.
-	slowPace = 2.0
-	maxPace  = 20.0
+	// the slowest pace that is believed. One below usualPace counts as normal:
+	// the time between events varies that much with the other streams.
+	slowPace  = 2.0
+	maxPace   = 20.0
+	usualPace = 1.4
 )
 
 // slot is an engine of the pool.
@@ -80,6 +82,9 @@
 	if pace <= 0 {
 		return
 	}
+	if pace < usualPace {
+		pace = 1
+	}
 	s.pace += paceWeight * (min(pace, maxPace) - s.pace)
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -39,8 +39,9 @@
 type stream struct {
 	last    int64
 	hasLast bool
-	first   time.Time
 	recent  time.Time
+	// pauses are the times between events.
+	pauses []time.Duration
 }
 
 // runEngine serves a request of a model service.
@@ -289,16 +290,17 @@
 	return c.pass(a)
 }
 
-// pace returns the time between the events of a stream against the expected
-// time, or zero when there were too few.
+// pace returns the usual time between the events of a stream against the time
+// that an engine without other streams needs, or zero when there were too few.
+// The median leaves out the pauses in which the engine read other prompts.
 func (c *call) pace(st *stream) float64 {
 	e := c.table.Services()[c.service].Engine
 	const few = 5
-	if e == nil || c.events < few || c.resumed > 0 {
+	if e == nil || len(st.pauses) < few || c.resumed > 0 {
 		return 0
 	}
-	usual := e.EventTime(e.Slots, e.Slots*c.meta.Prompt)
-	return float64(st.recent.Sub(st.first)) / float64(c.events-1) / float64(usual)
+	slices.Sort(st.pauses)
+	return float64(st.pauses[len(st.pauses)/2]) / float64(e.EventTime(1, c.meta.Prompt))
 }
 
 // passEvents copies whole events to the caller until the stream ends.
@@ -352,11 +354,12 @@
 	c.begin(resp)
 	now := time.Now()
 	if c.events == 0 {
-		st.first = now
 		c.first = now.Sub(c.arrived)
 		c.server.metrics.first(c.service, c.first)
 	} else {
-		c.pause = max(c.pause, now.Sub(st.recent))
+		pause := now.Sub(st.recent)
+		st.pauses = append(st.pauses, pause)
+		c.pause = max(c.pause, pause)
 	}
 	st.recent = now
 	c.events++
