place: a node without a picture asks the engines before it places anything

Change: without a question or a report for a second, requests wait for the first answers of the engines, 0.2 s at most; load that no host reports counts as short streams. A question without an answer is repeated while the owner answers others.

Ruled out: the burst itself (p50 of the first event 172 ms, all late by pauses).

Tests: TestOwnerWithoutPicture, TestLostAnswer; both failed before.

--- a/internal/place/client.go
+++ b/internal/place/client.go
@@ -35,6 +35,9 @@
 	reportInterval = 500 * time.Millisecond
 	// reportDelay gathers changes of some requests into one report.
 	reportDelay = 5 * time.Millisecond
+	// ownerRepeats is how often a question without an answer is repeated while the
+	// owner answers others: another owner knows nothing of what runs.
+	ownerRepeats = 2
 	// ownersTried is how many nodes are asked before this one decides alone.
 	ownersTried = 2
 )
@@ -71,6 +74,8 @@
 	ended   map[string][]Ending
 	barred  map[string]time.Time
 	full    map[string]bool
+	// heard is when an owner last answered.
+	heard map[string]time.Time
 }
 
 // NewClient returns a client. Reports are sent by Run.
@@ -78,7 +83,7 @@
 	return &Client{
 		options: o, local: newLocal(o.Random), wake: make(chan struct{}, 1),
 		running: map[string]map[string]*Running{}, changed: map[string]map[string]bool{},
-		ended: map[string][]Ending{}, barred: map[string]time.Time{}, full: map[string]bool{},
+		ended: map[string][]Ending{}, barred: map[string]time.Time{}, full: map[string]bool{}, heard: map[string]time.Time{},
 	}
 }
 
@@ -104,7 +109,7 @@
 // The ID of the request may change: the one under which it was placed is in the
 // grant.
 func (c *Client) Acquire(ctx context.Context, req Request) (Verdict, error) {
-	started := time.Now()
+	started, repeated := time.Now(), 0
 	req.Node = c.options.Members.Self().Name
 	goal, remaining, patience := req.Goal, req.Remaining, req.Patience
 	for tries := 0; tries < ownersTried; {
@@ -114,6 +119,7 @@
 		}
 		waited := time.Since(started)
 		req.Goal, req.Remaining, req.Patience = goal-waited, remaining-waited, patience-waited
+		asked := time.Now()
 		v, err := c.ask(ctx, owner, req)
 		if ctx.Err() != nil {
 			c.withdraw(req)
@@ -122,6 +128,10 @@
 		if err == nil && v.Unready {
 			err = fault.New(fault.Unreachable, "node %s knows no engine of the service", owner.Name)
 		}
+		if err != nil && repeated < ownerRepeats && c.heardSince(owner, asked) {
+			repeated++
+			continue
+		}
 		if err != nil {
 			c.bar(owner, req, err)
 			tries++
@@ -199,9 +209,21 @@
 	defer cancel()
 	var v Verdict
 	err := c.options.Caller.Call(ctx, owner.PeerAddress, MethodAcquire, acquireCall{Request: req, Hold: holdTime}, &v)
+	if err == nil {
+		c.mu.Lock()
+		c.heard[owner.Name] = time.Now()
+		c.mu.Unlock()
+	}
 	return v, err
 }
 
+// heardSince reports whether an owner answered any request after a time.
+func (c *Client) heardSince(owner member.Member, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heard[owner.Name].After(since)
+}
+
 func (c *Client) bar(owner member.Member, req Request, err error) {
 	c.mu.Lock()
 	c.barred[owner.Name] = time.Now()
--- a/internal/place/client_test.go
+++ b/internal/place/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,11 +23,17 @@
 	members []member.Member
 	// silent nodes do not answer, and gone upstreams are known to have left.
 	silent, gone map[string]bool
+	// lost are the requests whose next question gets no answer.
+	lost sync.Map
 }
 
 // Call implements wire.Caller.
 func (n *nodes) Call(ctx context.Context, address, method string, params, result any) error {
-	if n.silent[address] {
+	lost := false
+	if call, ok := params.(acquireCall); ok {
+		_, lost = n.lost.LoadAndDelete(call.Request.ID)
+	}
+	if lost || n.silent[address] {
 		<-ctx.Done()
 		return fault.Wrap(fault.Timeout, ctx.Err(), "no answer")
 	}
@@ -118,6 +125,40 @@
 	}
 }
 
+// Guards against a lost answer that makes a node take the owner for gone while
+// others are answered: two owners place requests on the same engines then.
+func TestLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := group.New(t.Context())
+		n, clients := newNodes(t, g, 4, func(int) float64 { return 1 }, func(string) bool { return true })
+		asker := "n0"
+		owner, ok := clients[asker].owner("s")
+		require.True(t, ok)
+		if owner.Name == asker {
+			asker = "n1"
+		}
+		n.lost.Store("lost", true)
+		ask := func(id string) {
+			req := short(2000)
+			req.ID, req.Service = id, "s"
+			v, err := clients[asker].Acquire(t.Context(), req)
+			require.NoError(t, err)
+			require.NotNil(t, v.Grant)
+			require.False(t, v.Grant.Alone)
+		}
+		g.Go("first", func(context.Context) error { ask("lost"); return nil })
+		time.Sleep(holdTime / 2)
+		ask("answered")
+		time.Sleep(holdTime + ownerTimeout)
+		synctest.Wait()
+		after, ok := clients[asker].owner("s")
+		require.True(t, ok)
+		require.Equal(t, owner.Name, after.Name, "the owner answers others")
+		g.Stop()
+		require.NoError(t, g.Wait())
+	})
+}
+
 // Guards against a small host that owns a service while there are large ones.
 func TestOwnerIsLarge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/place/inspect.go
+++ b/internal/place/inspect.go
@@ -18,6 +18,13 @@
 	inspectTimeout = 400 * time.Millisecond
 	// inspectIdle is how long after a request for a place inspections go on.
 	inspectIdle = 500 * time.Millisecond
+	// pictureAge without a question or a report is when a node no longer knows
+	// what runs: nodes report every reportInterval.
+	pictureAge = 2 * reportInterval
+	// blindTime is how long requests wait for the first answers of the engines on
+	// a node without a picture. Engines answer within some ms; one that is dead
+	// must not keep requests from the others.
+	blindTime = 200 * time.Millisecond
 	// unreportedMin is the number of unknown requests of an engine that counts:
 	// answers are older than the reports of hosts, so that one or two differ.
 	unreportedMin = 3
@@ -36,6 +43,9 @@
 // it: as a new owner, and after an engine had no room. Requests of hosts that
 // died keep their places at engines for a time.
 func (p *Pool) Inspect(ctx context.Context, ask Inspector) error {
+	p.mu.Lock()
+	p.inspected = true
+	p.mu.Unlock()
 	ticker := time.NewTicker(inspectInterval)
 	defer ticker.Stop()
 	for {
@@ -59,6 +69,25 @@
 	return p.unsure && time.Since(p.asked) < inspectIdle
 }
 
+// look makes the load of the engines be asked for when this node does not know
+// all of it. Without any picture it places nothing before they answered. The
+// caller holds mu.
+func (p *Pool) look(now time.Time) {
+	if p.inspected && now.Sub(later(p.asked, p.heard)) > pictureAge {
+		p.blind = now
+		p.suspect()
+	} else if p.unsure && now.Sub(p.asked) > inspectIdle {
+		p.suspect()
+	}
+	p.asked = now
+}
+
+// isBlind reports whether the first answers of the engines are awaited. The
+// caller holds mu.
+func (p *Pool) isBlind(now time.Time) bool {
+	return !p.blind.IsZero() && now.Sub(p.blind) < blindTime
+}
+
 // suspect makes the load of the engines be asked for. The caller holds mu.
 func (p *Pool) suspect() {
 	p.unsure = true
@@ -126,6 +155,7 @@
 		unreported += s.unreported
 	}
 	p.unsure = unreported > 0
+	p.blind = time.Time{}
 	if unreported > 0 {
 		p.log.WithFields(logrus.Fields{"event": "unreported_load", "service": p.service, "requests": unreported, "engines": len(loads)}).
 			Info("engines run requests that no host reports")
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -39,29 +39,34 @@
 
 // candidateOf sums up what runs on an engine.
 func (p *Pool) candidateOf(s *slot, now time.Time) candidate {
-	c := candidate{slot: s, backlog: s.backlog(now), places: s.unreported}
+	c := candidate{slot: s, backlog: s.backlog(now)}
+	p.addStreams(&c, p.gap, s.unreported, float64(s.unreported))
 	for _, j := range s.jobs {
-		if j.slot != s {
-			continue
-		}
-		c.places++
-		if j.Gap <= 0 {
-			continue
-		}
-		at := slices.IndexFunc(c.streams, func(g streams) bool { return g.gap == j.Gap })
-		if at < 0 {
-			at = len(c.streams)
-			c.streams = append(c.streams, streams{
-				gap: j.Gap, slack: p.slack(j.Gap),
-				abandon: scale(route.Patience(0, j.Gap), abandonShare),
-			})
+		if j.slot == s {
+			p.addStreams(&c, j.Gap, 1, j.value)
 		}
-		c.streams[at].count++
-		c.streams[at].weight += j.value
 	}
 	return c
 }
 
+// addStreams adds streams that allow a pause. Of requests that no node reports
+// little is known; most are short ones.
+func (p *Pool) addStreams(c *candidate, gap time.Duration, count int, weight float64) {
+	c.places += count
+	if gap <= 0 || count == 0 {
+		return
+	}
+	at := slices.IndexFunc(c.streams, func(g streams) bool { return g.gap == gap })
+	if at < 0 {
+		at = len(c.streams)
+		c.streams = append(c.streams, streams{
+			gap: gap, slack: p.slack(gap), abandon: scale(route.Patience(0, gap), abandonShare),
+		})
+	}
+	c.streams[at].count += count
+	c.streams[at].weight += weight
+}
+
 // candidates returns the engines that may take a request, or a part of it.
 func (p *Pool) candidates(j *job, now time.Time) []candidate {
 	var free, avoided []candidate
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -61,8 +61,11 @@
 	// wakes the inspection.
 	unsure  bool
 	inspect chan struct{}
-	// asked is when a place was last asked for.
-	asked time.Time
+	// inspected says that engines are asked for their load at need.
+	inspected bool
+	// asked is when a place was last asked for, heard when a node last reported,
+	// and blind since when the first answers of the engines are awaited.
+	asked, heard, blind time.Time
 }
 
 type crash struct {
@@ -180,10 +183,7 @@
 		return Verdict{Unready: true}
 	}
 	if j == nil {
-		if p.unsure && now.Sub(p.asked) > inspectIdle {
-			p.suspect()
-		}
-		p.asked = now
+		p.look(now)
 		j = p.submit(req, now)
 		p.poke()
 	}
--- a/internal/place/pool_test.go
+++ b/internal/place/pool_test.go
@@ -304,6 +304,31 @@
 	})
 }
 
+// Guards against a new owner that knows nothing of what runs and gives a long
+// prompt parts on engines full of short streams.
+func TestOwnerWithoutPicture(t *testing.T) {
+	for name, tc := range map[string]struct {
+		active  int
+		granted bool
+	}{"busy engines": {10, false}, "idle engines": {0, true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 4)
+				defer b.stop()
+				b.group.Go("inspection", func(ctx context.Context) error {
+					return b.Inspect(ctx, func(ctx context.Context, _ Upstream) (Load, error) {
+						group.Sleep(ctx, 10*time.Millisecond)
+						return Load{Active: tc.active}, nil
+					})
+				})
+				synctest.Wait()
+				v := b.ask(long(182_000), blindTime/2)
+				require.Equal(t, tc.granted, v.Grant != nil)
+			})
+		})
+	}
+}
+
 // Guards against a request that crashes engine after engine, and against a
 // caller that is told to wait although its request can never be served.
 func TestRefusals(t *testing.T) {
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -11,7 +11,7 @@
 // pump grants places to waiting requests in their order. The caller holds mu.
 func (p *Pool) pump(now time.Time) {
 	p.expire(now)
-	if len(p.waiting) == 0 {
+	if len(p.waiting) == 0 || p.isBlind(now) {
 		return
 	}
 	p.sortWaiting(now)
--- a/internal/place/report.go
+++ b/internal/place/report.go
@@ -12,6 +12,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
+	p.heard = now
 	for _, e := range r.Ended {
 		p.end(e, now)
 	}
