--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -128,7 +128,7 @@
 	s := g.settings
 	g.members = member.New(member.Options{
 		Self: member.Member{
-			Name: s.Name, Address: s.Listen, PeerAddress: s.PeerListen, FailureDomain: s.FailureDomain, Region: s.Region,
+			Name: s.Name, Address: s.Advertise, PeerAddress: s.PeerAdvertise, FailureDomain: s.FailureDomain, Region: s.Region,
 			Capacity: s.ProcessorShare,
 		},
 		Caller: g.caller, Random: newRandom(), Log: g.log, Seeds: s.Seeds,
--- a/internal/params/gateway.go
+++ b/internal/params/gateway.go
@@ -19,6 +19,10 @@
 	PeerListen      string `json:"peer_listen"`
 	DirectoryListen string `json:"directory_listen"`
 	MetricsListen   string `json:"metrics_listen"`
+	// Advertise and PeerAdvertise are the addresses told to callers and to other
+	// gateways.
+	Advertise     string `json:"advertise"`
+	PeerAdvertise string `json:"peer_advertise"`
 	// Seeds are peer addresses of gateways to join. They may be out of date.
 	Seeds []string `json:"seeds"`
 	// Store is the address of the platform's metadata store.
@@ -57,6 +61,8 @@
 		{Key: "peer_listen", Required: true, Rule: address(), Meaning: "address and port for other gateways, on a network that callers cannot reach"},
 		{Key: "directory_listen", Required: true, Rule: address(), Meaning: "address and port for callers that ask for addresses"},
 		{Key: "metrics_listen", Required: true, Rule: address(), Meaning: "address and port for metrics and the state dump"},
+		{Key: "advertise", Default: "", Rule: advertised(), Meaning: "IP address told to callers; taken from `listen` when empty"},
+		{Key: "peer_advertise", Default: "", Rule: advertised(), Meaning: "IP address told to other gateways; taken from `peer_listen` when empty"},
 		{Key: "seeds", Default: []string{}, Rule: strict.Rule{Allowed: "a list of addresses of other gateways"}, Meaning: "peer addresses of gateways to join"},
 		{Key: "store", Required: true, Rule: address(), Meaning: "address of the platform's metadata store"},
 		{Key: "memory_limit_mib", Default: 256, Rule: strict.Between(32, 1<<20), Meaning: "memory of the process; the collector works harder from 60% of it on"},
@@ -92,6 +98,10 @@
 	}
 	override(source, &g, GatewayTable())
 	check(source, &g, GatewayTable())
+	derive(source, []advertisement{
+		{"advertise", "listen", g.Listen, &g.Advertise},
+		{"peer_advertise", "peer_listen", g.PeerListen, &g.PeerAdvertise},
+	})
 	if err := source.Err(); err != nil {
 		return Gateway{}, err
 	}
--- a/internal/params/load.go
+++ b/internal/params/load.go
@@ -54,7 +54,7 @@
 	}
 	override(source, &s, Table(), &s.TLS.CA, &s.TLS.Certificate, &s.TLS.Key, &s.CallerTLS.Certificate, &s.CallerTLS.Key)
 	check(source, &s, Table())
-	s.derive(source)
+	derive(source, s.advertisements())
 	s.checkTLS(source)
 	if err := source.Err(); err != nil {
 		return Settings{}, err
@@ -148,28 +148,35 @@
 	}
 }
 
-// derive fills the advertised addresses from the listening ones.
-func (s *Settings) derive(source *strict.Source) {
-	for _, a := range []struct {
-		key, listenKey, listen string
-		advertise              *string
-	}{
+// advertisement is an advertised address and the listening one that fills it.
+type advertisement struct {
+	key, listenKey, listen string
+	address                *string
+}
+
+func (s *Settings) advertisements() []advertisement {
+	return []advertisement{
 		{"advertise", "listen", s.Listen, &s.Advertise},
 		{"peer_advertise", "peer_listen", s.PeerListen, &s.PeerAdvertise},
-	} {
+	}
+}
+
+// derive fills the advertised addresses from the listening ones.
+func derive(source *strict.Source, list []advertisement) {
+	for _, a := range list {
 		listen, err := netip.ParseAddrPort(a.listen)
 		if err != nil || source.Bad(a.key) || source.Bad(a.listenKey) {
 			continue
 		}
-		if *a.advertise == "" && listen.Addr().IsUnspecified() {
+		if *a.address == "" && listen.Addr().IsUnspecified() {
 			source.Report([]string{a.key}, nil, "an IP address, because "+a.listenKey+" names no single one")
 			continue
 		}
-		if *a.advertise == "" {
-			*a.advertise = listen.String()
+		if *a.address == "" {
+			*a.address = listen.String()
 		}
-		if ip, err := netip.ParseAddr(*a.advertise); err == nil {
-			*a.advertise = netip.AddrPortFrom(ip, listen.Port()).String()
+		if ip, err := netip.ParseAddr(*a.address); err == nil {
+			*a.address = netip.AddrPortFrom(ip, listen.Port()).String()
 		}
 	}
 }
