--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -91,7 +91,7 @@
 func (c *call) resolve() error {
 	o := c.server.options
 	if c.table = o.Table(); c.table == nil {
-		return refuse(fault.NoConfig, busyRetry, "this host has no configuration yet")
+		return refuse(fault.NoConfig, outageRetry(time.Since(c.server.started)), "this host has no configuration yet")
 	}
 	var ok bool
 	if c.route, ok = c.table.Match(c.r.Host, c.r.URL.Path); !ok {
@@ -111,12 +111,19 @@
 // unknown refuses what the configuration does not hold. With an old copy a
 // newer version may hold it, so the caller is asked to come back instead.
 func (c *call) unknown(kind fault.Kind, text string) error {
-	if c.server.options.Age() > freshAge {
-		return refuse(fault.NoConfig, busyRetry, "%s, but the configuration may be out of date", text)
+	if age := c.server.options.Age(); age > freshAge {
+		return refuse(fault.NoConfig, outageRetry(age), "%s, but the configuration may be out of date", text)
 	}
 	return fault.New(kind, "%s", text)
 }
 
+// outageRetry returns when to come back after an outage of the platform that has
+// lasted a time so far. Such an outage is likely to last about as long again; a
+// caller that comes back within it has used up its attempt.
+func outageRetry(lasted time.Duration) time.Duration {
+	return min(max(lasted, outageMin), outageMax)
+}
+
 // nextAttempt reports whether the request may be sent to another upstream.
 func (c *call) nextAttempt() bool {
 	if c.attempts == 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,6 +44,11 @@
 	// now.
 	busyRetry  = 250 * time.Millisecond
 	leaveRetry = 20 * time.Millisecond
+	// outageMin and outageMax bound the time to come back in an outage of the
+	// platform: a host that starts has its configuration within half a second, and
+	// callers wait no longer than a third of the time that they have left.
+	outageMin = 500 * time.Millisecond
+	outageMax = 4 * time.Second
 )
 
 // Meta is what a caller says of a request beside its method, path and body.
@@ -135,6 +140,7 @@
 // Server is the callers' handler.
 type Server struct {
 	options Options
+	started time.Time
 	client  *http.Client
 	metrics metrics
 	// bodies recycles the buffers of streams.
@@ -164,7 +170,7 @@
 		DisableCompression: true,
 	}
 	return &Server{
-		options: o, random: o.Random, metrics: newMetrics(o.Metrics),
+		options: o, started: time.Now(), random: o.Random, metrics: newMetrics(o.Metrics),
 		client: &http.Client{Transport: transport, CheckRedirect: keepRedirect},
 		bodies: sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }},
 	}
