entry, relay: name the wrong field of a body; 408 for a body that does not arrive

The gateway waited for a body without a limit and held its memory. Both answer 408 now, which says that the request has not run; the gateway after 10 s, the time that a header may take.

--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"net/http"
 	"time"
-
-	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
 // completions answers POST /v1/completions.
@@ -51,7 +49,7 @@
 func (s *Server) prepare(w http.ResponseWriter, r *http.Request, who caller, body []byte, chat bool, arrived time.Time) (*call, sink, error) {
 	var req completionRequest
 	if err := json.Unmarshal(body, &req); err != nil {
-		return nil, nil, fault.Wrap(fault.Invalid, err, "the body is not a valid JSON object")
+		return nil, nil, malformed(err)
 	}
 	if err := req.validate(); err != nil {
 		return nil, nil, err
--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"io"
@@ -43,6 +44,8 @@
 		"cut body":        {body: `{"model":"m","pro`, want: fault.Invalid, says: "JSON"},
 		"no model":        {body: `{"prompt":"p"}`, want: fault.Invalid, says: "model"},
 		"unknown model":   {body: `{"model":"x","prompt":"p"}`, want: fault.NotFound, says: `"x"`},
+		"text messages":   {body: `{"model":"m","messages":"hello"}`, want: fault.Invalid, says: "messages is a JSON string; it must be a JSON array"},
+		"text length":     {body: `{"model":"m","prompt":"p","max_tokens":"9"}`, want: fault.Invalid, says: "max_tokens is a JSON string; it must be a JSON number"},
 		"empty prompt":    {body: `{"model":"m","prompt":""}`, want: fault.Invalid, says: "prompt"},
 		"number prompt":   {body: `{"model":"m","prompt":7}`, want: fault.Invalid, says: "prompt"},
 		"two answers":     {body: `{"model":"m","prompt":"p","n":2}`, want: fault.Invalid, says: "n is 2"},
@@ -212,6 +215,37 @@
 func (l oneConn) Close() error   { return nil }
 func (l oneConn) Addr() net.Addr { return &net.TCPAddr{} }
 
+// Guards against a slow sender that is told that its request is malformed, or
+// gets no answer of the interface at all.
+func TestSlowSender(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1, 0)
+		g := group.New(t.Context())
+		s := newServer(g, f, testDocument())
+		near, far := net.Pipe()
+		listener := oneConn{make(chan net.Conn, 1)}
+		listener.conns <- far
+		server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
+		g.Go("server", func(context.Context) error {
+			_ = server.Serve(listener)
+			return nil
+		})
+		_, err := io.WriteString(near, "POST /v1/completions HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer "+testKey+"\r\nContent-Length: 100\r\n\r\n{\"model\"")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(near), nil)
+		require.NoError(t, err)
+		var body errorBody
+		require.NoError(t, json.NewDecoder(resp.Body).Decode(&body))
+		require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+		require.Equal(t, "request_timeout", body.Error.Code)
+		require.Equal(t, string(fault.RunNo), resp.Header.Get(runHeader))
+		require.NoError(t, near.Close())
+		close(listener.conns)
+		require.NoError(t, server.Close())
+		require.NoError(t, g.Wait())
+	})
+}
+
 // Guards against a caller that stops reading and keeps its request, its stream
 // and the engine's memory. A pipe has no buffer, so the first unread event
 // blocks the writer.
--- a/internal/entry/openai.go
+++ b/internal/entry/openai.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
+	"reflect"
 	"sort"
 	"strings"
 
@@ -36,6 +38,31 @@
 	Content json.RawMessage `json:"content"`
 }
 
+// malformed says what is wrong with a body that cannot be decoded.
+func malformed(err error) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) && wrong.Field != "" {
+		return fault.New(fault.Invalid, "%s is a JSON %s; it must be a JSON %s", wrong.Field, wrong.Value, jsonType(wrong.Type.Kind()))
+	}
+	return fault.Wrap(fault.Invalid, err, "the body is not a valid JSON object")
+}
+
+// jsonType names the JSON type that a field of a kind is read from.
+func jsonType(k reflect.Kind) string {
+	switch k {
+	case reflect.Slice:
+		return "array"
+	case reflect.Struct:
+		return "object"
+	case reflect.String:
+		return "string"
+	case reflect.Bool:
+		return "boolean"
+	default:
+		return "number"
+	}
+}
+
 // answerLength returns the largest number of tokens to generate.
 func (r *completionRequest) answerLength() (int, error) {
 	length := defaultMaxTokens
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,9 @@
 	maxAnswer = 1 << 20
 	// writeTimeout bounds each write to a caller.
 	writeTimeout = 10 * time.Second
+	// bodyTimeout bounds the reading of a body, as long as that of a header: a
+	// sender that stops must not hold the memory of its body.
+	bodyTimeout = 10 * time.Second
 	// defaultBody bounds a body where the configuration sets no limit.
 	defaultBody = 4 << 20
 	// busyRetry is the time to come back for a request that found an engine
@@ -237,14 +241,21 @@
 	if limit <= 0 {
 		limit = defaultBody
 	}
+	control := http.NewResponseController(w)
+	if r.ContentLength != 0 {
+		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refuse(fault.SlowSender, busyRetry, "the body did not arrive within %s", bodyTimeout)
 	case errors.As(err, &large):
 		return nil, fault.New(fault.TooLarge, "the body exceeds %d bytes", limit)
 	case err != nil:
 		return nil, fault.Wrap(fault.Canceled, err, "the body did not arrive")
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/pkg/fault/answer.go
+++ b/pkg/fault/answer.go
@@ -59,6 +59,7 @@
 	UpstreamLost:    {http.StatusBadGateway, "upstream_lost", RunUnknown, true, "the upstream was lost after the request was dispatched"},
 	UpstreamFailed:  {http.StatusBadGateway, "upstream_failed", RunYes, false, "the upstream reported an error"},
 	ReplyLost:       {http.StatusBadGateway, "reply_lost", RunUnknown, false, "the reply was lost and the effect is not known"},
+	SlowSender:      {http.StatusRequestTimeout, "request_timeout", RunNo, true, "the request did not arrive in time"},
 }
 
 // Answer returns the table entry of the kind. An out-of-range value answers
--- a/pkg/fault/kind.go
+++ b/pkg/fault/kind.go
@@ -33,6 +33,7 @@
 	UpstreamLost
 	UpstreamFailed
 	ReplyLost
+	SlowSender
 	kindCount
 )
 
