feed: large values travel compressed between hosts

At 26.3 s a configuration of 1,730 routes came into force; the owner of the engines, which passes it on to its followers, wrote no line for 0.43 s, 88 owner_silent lines of other hosts name it, and three further hosts scheduled the same engines. Its link carries 200 Mbit/s at most; about 0.5 MB for each follower fill it, and answers wait behind them.

Change: values from 4 KB on are compressed once a change and unpacked by the receiver, with a bound on their size. The state of a host is derived anew only after a change, or while lapsed registrations are kept.

Ruled out: reading the configuration (all hosts do, only the passing one was silent for that long).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -28,8 +28,10 @@
 
 // Item is a key of the platform with the revision of its last change.
 type Item struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value,omitempty"`
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	// Packed is the compressed value of an item on its way between nodes.
+	Packed   []byte `json:"packed,omitempty"`
 	Revision uint64 `json:"revision"`
 	Deleted  bool   `json:"deleted,omitempty"`
 }
@@ -82,6 +84,8 @@
 type record struct {
 	Item
 	since time.Time
+	// packed is the item as it travels to other nodes.
+	packed Item
 }
 
 // New returns an empty copy.
@@ -98,7 +102,7 @@
 	news := false
 	for _, item := range b.Items {
 		if f.items[item.Key].Revision < item.Revision {
-			f.items[item.Key] = record{item, now}
+			f.items[item.Key] = record{item, now, item.pack()}
 			news = true
 		}
 	}
@@ -135,7 +139,8 @@
 	removed := false
 	for key, r := range f.items {
 		if !listed[key] && !r.Deleted && r.Revision <= b.At {
-			f.items[key] = record{Item{Key: key, Revision: b.At, Deleted: true}, now}
+			gone := Item{Key: key, Revision: b.At, Deleted: true}
+			f.items[key] = record{gone, now, gone}
 			removed = true
 		}
 	}
@@ -184,7 +189,8 @@
 	return live
 }
 
-// since returns the changes after a revision, or all keys for revision zero.
+// since returns the changes after a revision, or all keys for revision zero, as
+// they travel to another node.
 func (f *Feed) since(after uint64) Batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -192,7 +198,7 @@
 	for _, key := range slices.Sorted(maps.Keys(f.items)) {
 		r := f.items[key]
 		if r.Revision > after && (after > 0 || !r.Deleted) {
-			b.Items = append(b.Items, r.Item)
+			b.Items = append(b.Items, r.packed)
 		}
 	}
 	return b
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -215,7 +215,10 @@
 	var batch Batch
 	err := f.options.Caller.Call(ctx, peer.PeerAddress, MethodWatch,
 		watchCall{After: f.options.Feed.At(), Wait: peerWait}, &batch)
-	return batch, err
+	if err != nil {
+		return batch, err
+	}
+	return batch.unpack()
 }
 
 func (f *Follower) avoid(name string, lane int) {
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -79,9 +79,13 @@
 func (s *state) Run(ctx context.Context) error {
 	ticker := time.NewTicker(stateTick)
 	defer ticker.Stop()
+	var seen <-chan struct{}
 	for {
 		changed := s.feed.Changed()
-		s.refresh(time.Now())
+		if changed != seen || s.holding() {
+			seen = changed
+			s.refresh(time.Now())
+		}
 		select {
 		case <-changed:
 		case <-ticker.C:
@@ -91,6 +95,18 @@
 	}
 }
 
+// holding reports whether registrations that lapsed are kept for a time.
+func (s *state) holding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.upstreams {
+		if !r.lapsed.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // refresh takes over the present keys.
 func (s *state) refresh(now time.Time) {
 	live := s.feed.Live()
