--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -215,6 +215,24 @@
 func (l oneConn) Close() error   { return nil }
 func (l oneConn) Addr() net.Addr { return &net.TCPAddr{} }
 
+// pipe serves a handler on one connection without a buffer, and returns the
+// caller's end of it.
+func pipe(t *testing.T, g *group.Group, handler http.Handler) (near net.Conn, stop func()) {
+	near, far := net.Pipe()
+	listener := oneConn{make(chan net.Conn, 1)}
+	listener.conns <- far
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	g.Go("server", func(context.Context) error {
+		_ = server.Serve(listener)
+		return nil
+	})
+	return near, func() {
+		require.NoError(t, near.Close())
+		close(listener.conns)
+		require.NoError(t, server.Close())
+	}
+}
+
 // Guards against a slow sender that is told that its request is malformed, or
 // gets no answer of the interface at all.
 func TestSlowSender(t *testing.T) {
@@ -222,14 +240,7 @@
 		f := newFleet(1, 1, 0)
 		g := group.New(t.Context())
 		s := newServer(g, f, testDocument())
-		near, far := net.Pipe()
-		listener := oneConn{make(chan net.Conn, 1)}
-		listener.conns <- far
-		server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
-		g.Go("server", func(context.Context) error {
-			_ = server.Serve(listener)
-			return nil
-		})
+		near, stop := pipe(t, g, s)
 		_, err := io.WriteString(near, "POST /v1/completions HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer "+testKey+"\r\nContent-Length: 100\r\n\r\n{\"model\"")
 		require.NoError(t, err)
 		resp, err := http.ReadResponse(bufio.NewReader(near), nil)
@@ -239,9 +250,7 @@
 		require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
 		require.Equal(t, "request_timeout", body.Error.Code)
 		require.Equal(t, string(fault.RunNo), resp.Header.Get(runHeader))
-		require.NoError(t, near.Close())
-		close(listener.conns)
-		require.NoError(t, server.Close())
+		stop()
 		require.NoError(t, g.Wait())
 	})
 }
@@ -254,14 +263,7 @@
 		f := newFleet(1, 1, 0)
 		g := group.New(t.Context())
 		s := newServer(g, f, testDocument())
-		near, far := net.Pipe()
-		listener := oneConn{make(chan net.Conn, 1)}
-		listener.conns <- far
-		server := &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
-		g.Go("server", func(context.Context) error {
-			_ = server.Serve(listener)
-			return nil
-		})
+		near, stop := pipe(t, g, s)
 		body := `{"model":"m","prompt":"p","max_tokens":500,"stream":true}`
 		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://node/v1/completions", strings.NewReader(body))
 		require.NoError(t, err)
@@ -273,9 +275,7 @@
 		synctest.Wait()
 		require.Zero(t, s.InFlight(), "the request is given up after the write timeout")
 		require.Zero(t, f.held(), "the stream is canceled")
-		require.NoError(t, near.Close())
-		close(listener.conns)
-		require.NoError(t, server.Close())
+		stop()
 		require.NoError(t, g.Wait())
 	})
 }
