--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -42,8 +42,9 @@
 	crashMemory = 5 * time.Minute
 )
 
-// MaxEngines is the largest number of engines in a cell. One owner schedules
-// 76 engines with about a tenth of a core; at 3,000 it needed a whole one.
+// MaxEngines is the largest number of engines in a cell. An owner of 76 engines
+// uses about a tenth of a core in the users' bench, and a prompt is read by 17 at
+// most.
 const MaxEngines = 128
 
 // Pool schedules the engines of one cell.
