relay: bound what an upstream sends, and end stalled streams by progress

A second copy of an answer reached no other caller before either: each attempt has its own connection. Slow streams (a byte at a time) already ended whole.

Change: only new events with data are progress; repeated events are dropped; events, idle bytes and heads are limited (128 KB, 128 KB, 64 KB), and 128 KB of a plain answer are buffered instead of 1 MB. The rest of a large answer keeps its attempt until it is passed on. A panic while a request is served or searched for is logged with its id, counted, and ends that request at most. group.Call is the former unexported run.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -23,6 +23,9 @@
 	// such field or its value is not a number.
 	ID    int64
 	HasID bool
+	// HasData is false for comments and blank lines, which carry nothing for the
+	// reader of the stream.
+	HasData bool
 }
 
 // Add appends bytes of the stream to the buffer.
@@ -44,7 +47,7 @@
 		raw := s.pending[:end:end]
 		s.pending, s.scanned = s.pending[end:], 0
 		id, ok := parseID(raw)
-		return Event{Raw: raw, ID: id, HasID: ok}, true
+		return Event{Raw: raw, ID: id, HasID: ok, HasData: hasData(raw)}, true
 	}
 }
 
@@ -59,6 +62,11 @@
 	return len(line) == 0 || line[len(line)-1] == '\n'
 }
 
+// hasData reports whether an event has a data field.
+func hasData(raw []byte) bool {
+	return bytes.HasPrefix(raw, []byte("data")) || bytes.Contains(raw, []byte("\ndata"))
+}
+
 // parseID returns the number in the first id field of an event.
 func parseID(raw []byte) (int64, bool) {
 	for line := range bytes.Lines(raw) {
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -67,3 +67,28 @@
 		})
 	}
 }
+
+// Guards against comments that count as progress of a stream.
+func TestHasData(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		want bool
+	}{
+		"data first":   {"data: a\n\n", true},
+		"after id":     {"id: 1\ndata: a\n\n", true},
+		"empty data":   {"id: 1\ndata\n\n", true},
+		"comment":      {": data\n\n", false},
+		"blank line":   {"\n", false},
+		"id only":      {"id: 4\n\n", false},
+		"in a comment": {": x data: y\n\n", false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var s Splitter
+			s.Add([]byte(tc.text))
+			e, ok := s.Next()
+			require.True(t, ok)
+			require.Equal(t, tc.want, e.HasData)
+		})
+	}
+}
--- a/internal/relay/failover.go
+++ b/internal/relay/failover.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/verbenapier/verbenapier/internal/place"
+	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
 // failover looks for another engine while the engine of an attempt is silent,
@@ -57,7 +58,13 @@
 	f.running.Add(1)
 	f.timer = time.AfterFunc(silence, func() {
 		defer f.running.Done()
-		f.search(ctx, req)
+		// A timer runs outside the goroutine that serves the request.
+		if err := group.Call(ctx, func(ctx context.Context) error { f.search(ctx, req); return nil }); err != nil {
+			f.call.server.metrics.recordPanic()
+			f.call.logDecision("search_failed", "the search for another engine failed unexpectedly; the request stays with its engine", logrus.Fields{
+				"upstream": f.call.upstream, "error": err.Error(),
+			})
+		}
 	})
 }
 
--- /dev/null
+++ b/internal/relay/fakes_test.go
@@ -0,0 +1,178 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/internal/dialer"
+	"github.com/verbenapier/verbenapier/internal/place"
+	"github.com/verbenapier/verbenapier/internal/retry"
+	"github.com/verbenapier/verbenapier/internal/route"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// upstreamHead begins every answer of the upstreams in these tests.
+const upstreamHead = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
+
+// headerCodec reads and writes the headers of the tests.
+type headerCodec struct{}
+
+func (headerCodec) Decode(h http.Header) RequestMeta {
+	return RequestMeta{ID: h.Get("Id"), Remaining: 20 * time.Second, PromptTokens: 100, OutputTokens: 10}
+}
+
+func (headerCodec) SetHeaders(http.Header, ForwardOptions) {}
+
+func (headerCodec) ReadVerdict(resp *http.Response) ResponseVerdict {
+	return ResponseVerdict{Signed: resp.Header.Get("Signature") != "", ID: resp.Header.Get("Id")}
+}
+
+// orderedPlacer grants the upstreams in their order, skipping those to avoid. A
+// request for an upstream beyond the last one panics if panics is set.
+type orderedPlacer struct {
+	upstreams []place.Upstream
+	panics    bool
+}
+
+func (p *orderedPlacer) next(avoid []string) (place.Upstream, bool) {
+	for _, u := range p.upstreams {
+		if !slices.Contains(avoid, u.ID) {
+			return u, true
+		}
+	}
+	return place.Upstream{}, false
+}
+
+func (p *orderedPlacer) Acquire(_ context.Context, req place.Request) (place.Verdict, error) {
+	u, ok := p.next(req.Avoid)
+	switch {
+	case ok:
+		return place.Verdict{Grant: &place.Grant{ID: req.ID, Upstream: u, Expected: time.Millisecond}}, nil
+	case p.panics:
+		panic("no upstream left")
+	}
+	return place.Verdict{Refusal: &place.Refusal{Reason: "no upstream left"}}, nil
+}
+
+func (p *orderedPlacer) ReportFirstEvent(place.Grant)                {}
+func (p *orderedPlacer) ReportEnded(place.Grant, place.EndedRequest) {}
+
+func (p *orderedPlacer) AcquirePlain(_ string, avoid []string) (place.Upstream, bool) {
+	return p.next(avoid)
+}
+
+func (p *orderedPlacer) ReleasePlain(place.Upstream, place.Outcome) {}
+
+// gateway is a Server on a real socket with stand-ins for its upstreams.
+type gateway struct {
+	t      *testing.T
+	group  *group.Group
+	placer *orderedPlacer
+	url    string
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+// newGateway starts a gateway with the routes /stream/ and /plain/, both of which
+// may be repeated.
+func newGateway(t *testing.T) *gateway {
+	g := &gateway{t: t, group: group.New(t.Context()), placer: &orderedPlacer{}}
+	table := route.NewTable(&route.Config{
+		Routes: []route.Route{
+			{Host: "h", Prefix: "/stream/", Stream: true, Resumable: true, Timeout: 20 * time.Second, Attempts: 3, GapGoal: 100 * time.Millisecond, Shares: []route.Share{{Service: "model", Weight: 1}}},
+			{Host: "h", Prefix: "/plain/", Idempotent: true, Timeout: 20 * time.Second, Attempts: 3, Shares: []route.Share{{Service: "plain", Weight: 1}}},
+		},
+		Services: map[string]route.Service{"model": {Name: "model", Engine: &route.Engine{EventTokens: 1}}, "plain": {Name: "plain"}},
+	})
+	log := logrus.New()
+	log.SetOutput(g)
+	server := New(Options{
+		Codec: headerCodec{}, Placer: g.placer, Group: g.group, Table: func() *route.Table { return table },
+		ConfigAge: func() time.Duration { return 0 }, UpstreamID: func(string) string { return "" },
+		Budget: retry.New(1, 100, time.Minute, func() int { return 1 }),
+		Dial:   dialer.TCP, Random: rand.New(rand.NewPCG(1, 1)), Log: log,
+	})
+	s := httptest.NewServer(server)
+	g.url = s.URL
+	t.Cleanup(func() {
+		s.Close()
+		g.group.Stop()
+		require.NoError(t, g.group.Wait())
+	})
+	return g
+}
+
+// Write receives the log of the gateway.
+func (g *gateway) Write(p []byte) (int, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.log.Write(p)
+}
+
+func (g *gateway) logged() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.log.String()
+}
+
+// addUpstream adds an upstream that reads the header of a request and then calls
+// answer with the connection.
+func (g *gateway) addUpstream(id string, answer func(c net.Conn)) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(g.t, err)
+	g.t.Cleanup(func() { _ = l.Close() })
+	g.placer.upstreams = append(g.placer.upstreams, place.Upstream{ID: id, Address: l.Addr().String()})
+	g.group.Go("upstream", func(context.Context) error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil //nolint:nilerr // the listener is closed at the end of the test
+			}
+			g.group.Go("upstream connection", func(context.Context) error {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					answer(c)
+				}
+				return nil
+			})
+		}
+	})
+}
+
+// get sends a request and returns the status and the body of the answer, and the
+// error after which the body ended.
+func (g *gateway) get(path string) (status int, body string, err error) {
+	ctx, cancel := context.WithTimeout(g.t.Context(), 30*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, g.url+path, http.NoBody)
+	require.NoError(g.t, err)
+	req.Host = "h"
+	req.Header.Set("Id", "r1")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), err
+}
+
+func write(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -23,6 +23,9 @@
 	tagged.Timer("request_seconds").Record(took)
 }
 
+// recordPanic counts a request that met an unexpected error of the gateway itself.
+func (m metrics) recordPanic() { m.scope.Counter("panics_total").Inc(1) }
+
 func (m metrics) recordFirstEvent(service string, took time.Duration) {
 	m.scope.Tagged(map[string]string{"service": service}).Timer("first_event_seconds").Record(took)
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -33,12 +33,22 @@
 	// rest is the unread remainder of a body of maxBufferedBody bytes or more,
 	// otherwise nil.
 	rest io.Reader
+	// release ends the attempt whose response has a rest.
+	release func()
+}
+
+// close releases what the response holds. A nil response is allowed.
+func (b *bufferedResponse) close() {
+	if b != nil && b.release != nil {
+		b.release()
+	}
 }
 
 // runPlain serves a request for a plain service.
 func (c *call) runPlain(ctx context.Context) error {
 	var lastErr error
 	var failedResponse *bufferedResponse
+	defer func() { failedResponse.close() }()
 	for connects := 0; connects < maxConnects && ctx.Err() == nil; {
 		u, ok := c.server.options.Placer.AcquirePlain(c.service, c.avoid)
 		if !ok {
@@ -48,9 +58,11 @@
 		b, err := c.attemptPlain(ctx, u)
 		c.avoid = append(c.avoid, u.ID)
 		if err == nil && (b.status < http.StatusInternalServerError || !c.route.Repeatable()) {
+			defer b.close()
 			return c.writeResponse(b)
 		}
 		if err == nil {
+			failedResponse.close()
 			failedResponse = b
 		}
 		lastErr = err
@@ -92,29 +104,38 @@
 func (c *call) attemptPlain(ctx context.Context, u place.Upstream) (b *bufferedResponse, err error) {
 	outcome := place.EngineFailed
 	defer func() { c.server.options.Placer.ReleasePlain(u, outcome) }()
+	ctx, cancel := context.WithCancelCause(ctx)
 	if c.route.Idempotent && c.attempts+1 < c.route.Attempts {
-		var cancel context.CancelFunc
+		// The limit applies until the response is buffered. The rest of a large body
+		// may take longer, as nothing can be sent again then.
 		attemptTimeout := time.Duration(attemptShare * float64(time.Until(c.deadline)))
-		ctx, cancel = context.WithTimeoutCause(ctx, attemptTimeout, errUnresponsive)
-		defer cancel()
+		defer time.AfterFunc(attemptTimeout, func() { cancel(errUnresponsive) }).Stop()
 	}
 	c.upstream = u.ID
 	c.logDecision("sent", "a request was sent to an upstream", logrus.Fields{"upstream": u.ID, "attempt": c.attempts + 1})
 	resp, err := c.send(ctx, u, ForwardOptions{})
 	if fault.Is(err, fault.Unreachable) {
+		cancel(nil)
 		return nil, err
 	}
 	c.attempts++
 	if err != nil {
+		cancel(nil)
 		c.dispatched = true
 		if c.r.Context().Err() != nil {
 			outcome = place.Completed
 		}
 		return nil, err
 	}
+	release := func() {
+		_ = resp.Body.Close()
+		cancel(nil)
+	}
 	defer func() {
 		if b == nil || b.rest == nil {
-			_ = resp.Body.Close()
+			release()
+		} else {
+			b.release = release
 		}
 	}()
 	v := c.server.options.Codec.ReadVerdict(resp)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,7 +37,13 @@
 	// maxBufferedBody is the number of bytes of a response body that are read
 	// before any are sent to the caller. The remainder of a longer body is
 	// passed on as it arrives.
-	maxBufferedBody = 1 << 20
+	maxBufferedBody = 128 << 10
+	// maxEventBytes is the maximum size of an event of a stream, and of what an
+	// upstream may send between two events that make progress. Several hundred
+	// streams at once must fit into the memory of a small host.
+	maxEventBytes = 128 << 10
+	// maxHeadBytes is the maximum size of the head of a response.
+	maxHeadBytes = 64 << 10
 	// writeTimeout bounds each write to a caller.
 	writeTimeout = 10 * time.Second
 	// bodyTimeout is the maximum time for reading a request body, the same as
@@ -196,8 +202,9 @@
 		// Each attempt opens its own connection. On a reused connection net/http
 		// repeats some requests after a failure, and a late response could be
 		// taken for that of the next request.
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Server{
 		options: o, started: time.Now(), random: o.Random, metrics: newMetrics(o.Metrics),
@@ -233,7 +240,10 @@
 	if s.leavingSince.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	err := c.run()
+	err := group.Call(r.Context(), func(context.Context) error { return c.run() })
+	if fault.Is(err, fault.Internal) {
+		s.metrics.recordPanic()
+	}
 	c.finish(err)
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -175,6 +175,8 @@
 	helpers  []place.Helper
 	failover *failover
 	ended    place.EndedRequest
+	// begun is set once the engine has sent a numbered event.
+	begun bool
 }
 
 // attemptEngine sends the request to an engine and forwards the events. If the
@@ -308,6 +310,7 @@
 	if err != nil {
 		return err
 	}
+	// A rest is not read: the deferred close in exchange discards it.
 	if c.headerSent || b.rest != nil || b.status >= http.StatusInternalServerError && c.route.Repeatable() && c.attempts < c.route.Attempts {
 		return fault.New(fault.UpstreamFailed, "the engine answered with status %d", b.status)
 	}
@@ -330,36 +333,31 @@
 	return float64(st.pauses[len(st.pauses)/2]) / float64(e.EventTime(1, c.meta.PromptTokens))
 }
 
-// forwardEvents copies complete events to the caller until the stream ends.
+// forwardEvents copies complete events to the caller until the stream ends. Only
+// events that make progress keep the attempt: an engine that repeats events, or
+// sends other bytes, counts as silent.
 func (c *call) forwardEvents(ctx context.Context, resp *http.Response, a *attempt, st *stream) error {
 	var splitter event.Splitter
 	buf := c.server.buffers.Get().(*[]byte)
 	defer c.server.buffers.Put(buf)
 	timeout := c.stallTimeout()
-	awaitFirstID := true
+	// idleBytes is the number of bytes since the last event that made progress.
+	idleBytes := 0
 	for {
 		n, err := resp.Body.Read(*buf)
 		splitter.Add((*buf)[:n])
-		wrote := false
-		for {
-			e, ok := splitter.Next()
-			if !ok {
-				break
-			}
-			if awaitFirstID && e.HasID {
-				if c.headerSent && st.hasLastID && e.ID != st.lastID+1 {
-					return fault.New(fault.UpstreamLost, "the stream continued on the new engine at event %d instead of %d", e.ID, st.lastID+1)
-				}
-				awaitFirstID = false
-				c.server.options.Placer.ReportFirstEvent(a.grant)
-			}
-			if err := c.forwardEvent(resp, e, st); err != nil {
-				return err
-			}
-			wrote = true
+		idleBytes += n
+		wrote, progress, forwardErr := c.forwardBuffered(resp, a, st, &splitter)
+		switch {
+		case forwardErr != nil:
+			return forwardErr
+		case progress:
+			idleBytes = splitter.Partial()
+			a.failover.arm(timeout, c.failoverRequest(st, timeout, a.grant))
+		case idleBytes > maxEventBytes:
+			return fault.New(fault.UpstreamLost, "the engine sent %d bytes without an event", idleBytes)
 		}
 		if wrote {
-			a.failover.arm(timeout, c.failoverRequest(st, timeout, a.grant))
 			if err := http.NewResponseController(c.w).Flush(); err != nil {
 				return fault.Wrap(fault.Canceled, err, "the caller left before the answer was written")
 			}
@@ -376,9 +374,50 @@
 	}
 }
 
+// forwardBuffered copies the complete events in the splitter to the caller. It
+// reports whether it wrote any, and whether one of them made progress.
+func (c *call) forwardBuffered(resp *http.Response, a *attempt, st *stream, splitter *event.Splitter) (wrote, progress bool, err error) {
+	for {
+		e, ok := splitter.Next()
+		if !ok {
+			return wrote, progress, nil
+		}
+		if e.HasID && !a.begun {
+			if c.headerSent && st.hasLastID && e.ID != st.lastID+1 {
+				return wrote, progress, fault.New(fault.UpstreamLost, "the stream continued on the new engine at event %d instead of %d", e.ID, st.lastID+1)
+			}
+			a.begun = true
+			c.server.options.Placer.ReportFirstEvent(a.grant)
+		}
+		if st.repeats(e) {
+			continue
+		}
+		if err := c.forwardEvent(resp, e, st); err != nil {
+			return wrote, progress, err
+		}
+		wrote = true
+		progress = progress || e.HasData
+	}
+}
+
+// repeats reports whether the caller already has an event.
+func (st *stream) repeats(e event.Event) bool { return e.HasID && st.hasLastID && e.ID <= st.lastID }
+
 // forwardEvent writes one event, preceded by the header if none was sent.
 func (c *call) forwardEvent(resp *http.Response, e event.Event, st *stream) error {
 	c.sendHeader(resp)
+	if e.HasData {
+		c.recordEvent(e, st)
+	}
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := c.w.Write(e.Raw); err != nil {
+		return fault.Wrap(fault.Canceled, err, "the caller left before the answer was written")
+	}
+	return nil
+}
+
+// recordEvent records the progress of the stream by one event.
+func (c *call) recordEvent(e event.Event, st *stream) {
 	now := time.Now()
 	if c.events == 0 {
 		c.firstEvent = now.Sub(c.arrived)
@@ -393,11 +432,6 @@
 	if e.HasID {
 		st.lastID, st.hasLastID = e.ID, true
 	}
-	_ = http.NewResponseController(c.w).SetWriteDeadline(now.Add(writeTimeout))
-	if _, err := c.w.Write(e.Raw); err != nil {
-		return fault.Wrap(fault.Canceled, err, "the caller left before the answer was written")
-	}
-	return nil
 }
 
 // sendHeader sends the header of an engine's response to the caller, unless one
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -38,7 +38,7 @@
 // the group has stopped.
 func (g *Group) Go(name string, fn func(ctx context.Context) error) {
 	g.wg.Go(func() {
-		err := run(g.ctx, fn)
+		err := Call(g.ctx, fn)
 		if err == nil || (g.ctx.Err() != nil && errors.Is(err, context.Canceled)) {
 			return
 		}
@@ -82,8 +82,9 @@
 	}
 }
 
-// run calls fn and turns a panic into an error that holds the stack.
-func run(ctx context.Context, fn func(ctx context.Context) error) (err error) {
+// Call calls fn and returns a panic of fn as an error that holds the stack. It is for
+// callbacks and other work whose failure must not stop a group or the process.
+func Call(ctx context.Context, fn func(ctx context.Context) error) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			err = fmt.Errorf("panic: %v\n%s", p, debug.Stack())
