Open a connection for each request, and bound messages of peers

Cause: a second copy of an answer that a server sends late, on a connection that is in use again, was taken for the answer to the next request: on the gateway's connections to the store, and on verbenapierd's to engines, the platform and plain services (idempotent calls). The gateway's calls of upstreams already used a connection each. Peers' messages carry ids, but a message could be as long as its sender stated.

Change: dialer.Transport keeps no connections; it also limits the head of an answer to 64 KB. The relay uses it instead of a copy of its own. Dials of peers are repeated every 200 ms instead of after 200, 400 and 800 ms, so that a host that has just started is found.

--- a/emul/system/deploy_test.go
+++ b/emul/system/deploy_test.go
@@ -210,6 +210,9 @@
 	d.group.Stop()
 	d.net.Close()
 	require.NoError(d.t, d.group.Wait())
+	// net/http opens connections in the background, also for requests that have
+	// ended. These attempts end with their timeout.
+	time.Sleep(2 * time.Second)
 }
 
 func engineName(i int) string { return fmt.Sprintf("engine-%d", i) }
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -15,9 +15,8 @@
 const (
 	// connectTimeout bounds the time to open a connection.
 	connectTimeout = time.Second
-	// idleConnsPerHost bounds the idle connections kept to one address.
-	idleConnsPerHost = 64
-	idleTimeout      = 30 * time.Second
+	// maxHeadBytes is the maximum size of the head of a response.
+	maxHeadBytes = 64 << 10
 )
 
 // KeepAlive makes the kernel close connections whose other end does not answer.
@@ -69,6 +68,10 @@
 
 // Transport returns an HTTP transport over dial, without a proxy. A failed
 // dial is Unreachable: the request was not sent.
+//
+// Each request opens its own connection. On a kept connection, a late second copy of
+// an answer would be taken for the answer to the next request, and net/http would
+// repeat some requests after the connection breaks.
 func Transport(dial Func) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
@@ -77,8 +80,8 @@
 			conn, err := dial(ctx, address)
 			return conn, fault.Wrap(fault.Unreachable, err, "cannot connect to %s", address)
 		},
-		MaxIdleConnsPerHost: idleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -196,22 +196,21 @@
 
 // Server serves the callers of one node.
 type Server struct {
-	options         Options
-	handler         http.Handler
-	tokens          *tokenEstimator
-	keys            keyIndex
-	grants          *grantSet
-	plainClient     *http.Client
-	singleUseClient *http.Client
-	bodyMemory      *semaphore.Weighted
-	inflight        atomic.Int64
-	leaving         atomic.Bool
-	sequence        atomic.Uint64
-	lateRequests    atomic.Uint64
-	lastAdmitted    atomic.Int64
-	digests         loadDigests
-	usage           usageCounters
-	routes          routeIndex
+	options      Options
+	handler      http.Handler
+	tokens       *tokenEstimator
+	keys         keyIndex
+	grants       *grantSet
+	plainClient  *http.Client
+	bodyMemory   *semaphore.Weighted
+	inflight     atomic.Int64
+	leaving      atomic.Bool
+	sequence     atomic.Uint64
+	lateRequests atomic.Uint64
+	lastAdmitted atomic.Int64
+	digests      loadDigests
+	usage        usageCounters
+	routes       routeIndex
 
 	mu    sync.Mutex
 	calls map[string]*call
@@ -220,13 +219,12 @@
 // New returns a server. Its grants are renewed only while Run is running.
 func New(options Options) *Server {
 	s := &Server{
-		options:         options,
-		tokens:          newTokenEstimator(),
-		grants:          newGrantSet(options.Name, options.Incarnation),
-		plainClient:     &http.Client{Transport: dialer.Transport(options.Dial), CheckRedirect: returnRedirect},
-		singleUseClient: &http.Client{Transport: newSingleUseTransport(options.Dial), CheckRedirect: returnRedirect},
-		bodyMemory:      semaphore.NewWeighted(options.Limits.MaxBuffered),
-		calls:           map[string]*call{},
+		options:     options,
+		tokens:      newTokenEstimator(),
+		grants:      newGrantSet(options.Name, options.Incarnation),
+		plainClient: &http.Client{Transport: dialer.Transport(options.Dial), CheckRedirect: returnRedirect},
+		bodyMemory:  semaphore.NewWeighted(options.Limits.MaxBuffered),
+		calls:       map[string]*call{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", s.guard(s.completions))
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/pkg/confd"
@@ -33,15 +32,6 @@
 	maxOutcomeBody = 8 << 20
 )
 
-// newSingleUseTransport returns a transport that opens a new connection for
-// each request. When a reused connection breaks, net/http repeats a request
-// that carries Idempotency-Key, so the call would run twice.
-func newSingleUseTransport(dial dialer.Func) http.RoundTripper {
-	t := dialer.Transport(dial)
-	t.DisableKeepAlives = true
-	return t
-}
-
 // returnRedirect makes a client return redirects to the caller instead of
 // following them.
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -200,7 +190,7 @@
 	err := fault.New(fault.Unreachable, "service %s has no upstreams", p.service)
 	for _, address := range p.server.options.Directory.Upstreams(p.service) {
 		var resp *http.Response
-		resp, err = p.send(ctx, p.server.singleUseClient, address)
+		resp, err = p.send(ctx, p.server.plainClient, address)
 		if err == nil {
 			return p.readResponse(resp)
 		}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -21,12 +21,11 @@
 	// is also the timeout that a server applies to a call whose message contains no
 	// timeout.
 	dialTimeout = time.Second
-	// firstDialTimeout bounds the first attempt to connect; each further attempt
-	// may take twice as long as the one before. A packet to a host that is down is
-	// lost, and the kernel retransmits the packet only after a second, even if the
-	// host comes up much earlier. A new attempt sends a new packet at once. The
-	// value is several times the latency between regions.
-	firstDialTimeout = 200 * time.Millisecond
+	// dialAttemptTimeout bounds one attempt to connect. A packet to a host that is
+	// down is lost, and the kernel retransmits the packet only after a second, even
+	// if the host comes up much earlier. A new attempt sends a new packet at once.
+	// The value is several times the latency between regions.
+	dialAttemptTimeout = 200 * time.Millisecond
 	// redialDelay is how long calls to a peer fail without a dial after a failed
 	// dial, so that many calls to a dead peer do not each dial the peer.
 	redialDelay = 250 * time.Millisecond
@@ -207,8 +206,8 @@
 func (p *peer) dial(ctx context.Context, c *Client) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	for timeout := firstDialTimeout; ; timeout *= 2 {
-		attempt, cancelAttempt := context.WithTimeout(ctx, timeout)
+	for {
+		attempt, cancelAttempt := context.WithTimeout(ctx, dialAttemptTimeout)
 		conn, err := c.dial(attempt, p.address)
 		timedOut := attempt.Err() != nil
 		cancelAttempt()
@@ -227,7 +226,7 @@
 
 func (c *Client) open(conn net.Conn) *link {
 	raw := newTrackedConn(conn, &c.bytesRead, &c.bytesWritten)
-	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(raw, boundedCodec{})
 	l := &link{raw: raw}
 	// The connection outlives the call that opened it and ends with the group.
 	l.conn = jsonrpc2.NewConn(c.group.Context(), stream, ignoreCalls{}, jsonrpc2.SetLogger(discardLogger{}))
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -89,7 +89,7 @@
 	}
 	session := &session{server: s, from: from, cancels: map[string]context.CancelFunc{}}
 	stream := jsonrpc2.NewBufferedStream(
-		newTrackedConn(conn, &s.bytesRead, &s.bytesWritten), jsonrpc2.VarintObjectCodec{})
+		newTrackedConn(conn, &s.bytesRead, &s.bytesWritten), boundedCodec{})
 	rpc := jsonrpc2.NewConn(ctx, stream, session, jsonrpc2.SetLogger(discardLogger{}))
 	s.mu.Lock()
 	s.conns[rpc] = struct{}{}
