gate, place, relay: planned stops, expired grants, unexpected errors

Change: servers finish accepted requests for up to 0.5 s of the margin before the grace period ends. A grant may be used for reportTimeout, as long as its engines have not left; afterwards a new one is requested. A request whose placement panics is refused and logged, the others go on.

--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -41,6 +41,9 @@
 	// The platform kills the process at the end of the grace period. The gateway
 	// stops serving leaveMargin before that.
 	leaveMargin = 800 * time.Millisecond
+	// stopTimeout is the part of leaveMargin for requests that were accepted in the
+	// last moment.
+	stopTimeout = 500 * time.Millisecond
 	// A host that leaves stops serving early if no request has arrived for
 	// quietPeriod, but not before addressLifetimes times the lifetime of the
 	// addresses that callers cache.
@@ -191,9 +194,7 @@
 		g.leave()
 	case <-g.group.Context().Done():
 	}
-	for _, s := range servers {
-		_ = s.Close()
-	}
+	g.stopServers(servers)
 	g.group.Stop()
 	err = errors.Join(g.group.Wait(), g.closeMetrics.Close())
 	g.log.WithField("event", "stopped").Info("the gateway has stopped")
@@ -262,6 +263,26 @@
 		Info("this host stops serving")
 }
 
+// stopServers closes the servers. Requests that they have accepted are answered,
+// unless that takes longer than stopTimeout.
+func (g *Gateway) stopServers(servers []*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	stopping := group.New(ctx)
+	for _, s := range servers {
+		stopping.Go("stop", func(ctx context.Context) error {
+			if err := s.Shutdown(ctx); err != nil {
+				g.log.WithError(err).WithFields(logrus.Fields{"event": "requests_cut", "requests": g.relay.InFlight()}).
+					Warn("requests were still running when this host stopped")
+			}
+			return s.Close()
+		})
+	}
+	if err := stopping.Wait(); err != nil {
+		g.log.WithError(err).WithField("event", "stop_failed").Warn("a server could not be closed")
+	}
+}
+
 // metricsHandler serves the metrics.
 func (g *Gateway) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/place/client.go
+++ b/internal/place/client.go
@@ -86,6 +86,8 @@
 	running map[string]map[string]*RunningRequest
 	changed map[string]map[string]bool
 	ended   map[string][]EndedRequest
+	// grantedAt is when this node obtained the grants of running requests, by ID.
+	grantedAt map[string]time.Time
 	// barredAt is when an owner last failed to answer.
 	barredAt map[string]time.Time
 	// listedRunning is set for cells whose last full report listed requests.
@@ -99,7 +101,7 @@
 	return &Client{
 		options: o, local: newLocalPicker(o.Random), wake: make(chan struct{}, 1),
 		running: map[string]map[string]*RunningRequest{}, changed: map[string]map[string]bool{},
-		ended: map[string][]EndedRequest{}, barredAt: map[string]time.Time{}, listedRunning: map[string]bool{}, lastAnswer: map[string]time.Time{},
+		ended: map[string][]EndedRequest{}, grantedAt: map[string]time.Time{}, barredAt: map[string]time.Time{}, listedRunning: map[string]bool{}, lastAnswer: map[string]time.Time{},
 	}
 }
 
@@ -297,6 +299,16 @@
 	c.wakeRun()
 }
 
+// Current reports whether a grant may still be used: the node obtained it within
+// reportTimeout, after which the owner forgets requests that are not reported, and
+// its engines have not left since. A process that was paused finds its grants expired.
+func (c *Client) Current(g Grant) bool {
+	c.mu.Lock()
+	grantedAt, ok := c.grantedAt[g.ID]
+	c.mu.Unlock()
+	return ok && time.Since(grantedAt) < reportTimeout && !c.isStale(g)
+}
+
 // isStale reports whether a grant names an upstream that is leaving or has left.
 func (c *Client) isStale(g Grant) bool {
 	return c.options.UpstreamGone(g.Upstream.ID) ||
@@ -328,6 +340,7 @@
 		c.running[req.Cell] = map[string]*RunningRequest{}
 	}
 	c.running[req.Cell][req.ID] = r
+	c.grantedAt[req.ID] = time.Now()
 	if g.WithoutOwner {
 		c.markChanged(req.Cell, req.ID)
 	}
@@ -363,6 +376,7 @@
 	}
 	c.local.endRequest(r.Upstream, e.Outcome)
 	delete(c.running[g.Cell], e.ID)
+	delete(c.grantedAt, e.ID)
 	delete(c.changed[g.Cell], e.ID)
 	c.ended[g.Cell] = append(c.ended[g.Cell], e)
 	c.wakeRun()
@@ -392,7 +406,10 @@
 		}
 		for _, r := range c.reports(full) {
 			g.Go("report", func(ctx context.Context) error {
-				c.send(ctx, r)
+				if err := group.Call(ctx, func(ctx context.Context) error { c.send(ctx, r); return nil }); err != nil {
+					c.options.Log.WithError(err).WithFields(logrus.Fields{"event": "report_failed", "cell": r.Cell}).
+						Error("a report failed unexpectedly")
+				}
 				return nil
 			})
 		}
--- a/internal/place/client_test.go
+++ b/internal/place/client_test.go
@@ -236,3 +236,34 @@
 		require.NoError(t, g.Wait())
 	})
 }
+
+// Guards against a node that was paused after it obtained a grant, and then sends a
+// request to an engine that was given to others or has left.
+func TestCurrent(t *testing.T) {
+	cases := map[string]struct {
+		pause time.Duration
+		gone  bool
+		want  bool
+	}{
+		"at once":         {0, false, true},
+		"after a pause":   {reportTimeout, false, false},
+		"engine has left": {0, true, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := group.New(t.Context())
+				n, clients := newNodes(t, g, 1, func(int) float64 { return 1 }, func(string) bool { return true })
+				req := shortRequest(2000)
+				req.ID, req.Service = "r", "s"
+				v, err := clients["n0"].Acquire(t.Context(), req)
+				require.NoError(t, err)
+				time.Sleep(tc.pause)
+				n.gone[v.Grant.Upstream.ID] = tc.gone
+				require.Equal(t, tc.want, clients["n0"].Current(*v.Grant))
+				g.Stop()
+				require.NoError(t, g.Wait())
+			})
+		})
+	}
+}
--- a/internal/place/pool_test.go
+++ b/internal/place/pool_test.go
@@ -443,3 +443,21 @@
 	pool.mu.Unlock()
 	pool.Report(r)
 }
+
+// Guards against an unexpected error in the placement of one request that ends the
+// process, or keeps the others from being placed.
+func TestPanicInPlacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := newPoolHarness(t, 2)
+		defer pool.stop()
+		pool.mu.Lock()
+		pool.engines[0].jobs = nil
+		faulty := pool.engines[0].ID
+		pool.mu.Unlock()
+		v := pool.acquire(shortRequest(1000), time.Second)
+		require.NotNil(t, v.Refusal)
+		next := shortRequest(1000)
+		next.Avoid = []string{faulty}
+		require.NotNil(t, pool.acquire(next, time.Second).Grant)
+	})
+}
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
 // dispatch tries to place the waiting requests in their order, and drops those that
@@ -28,15 +31,45 @@
 		if misses[p.isLong(j)] >= maxDispatchMisses {
 			continue
 		}
-		plan, ok := p.choose(j, now)
-		if !ok {
+		placed, err := p.tryPlace(j, now)
+		switch {
+		case err != nil:
+			p.dropFaulty(j, err)
+		case !placed:
 			misses[p.isLong(j)]++
-			continue
 		}
-		p.grantPlan(j, plan, now)
 	}
 }
 
+// tryPlace grants engines to a request and returns true, or returns false if the
+// request should wait. The error is that of a panic. The caller holds mu.
+func (p *Pool) tryPlace(j *job, now time.Time) (placed bool, err error) {
+	err = group.Call(context.Background(), func(context.Context) error {
+		plan, ok := p.choose(j, now)
+		if ok {
+			p.grantPlan(j, plan, now)
+		}
+		placed = ok
+		return nil
+	})
+	return placed, err
+}
+
+// dropFaulty refuses a request whose placement failed unexpectedly, so that the
+// others are still placed. The caller holds mu.
+func (p *Pool) dropFaulty(j *job, err error) {
+	p.log.WithError(err).WithFields(logrus.Fields{"event": "placement_failed", "cell": p.cell, "request": j.ID}).
+		Error("the placement of a request failed unexpectedly")
+	p.remove(j)
+	select {
+	case <-j.decided:
+		return
+	default:
+	}
+	j.grant = nil
+	p.refuse(j, Refusal{Reason: "the request could not be placed", RetryAfter: minBarTime})
+}
+
 // grantPlan grants the engines of a plan to a request. The caller holds mu.
 func (p *Pool) grantPlan(j *job, plan plan, now time.Time) {
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *job) bool { return w == j })
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,8 +17,6 @@
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
-type conn = net.Conn
-
 // call is the state of one request of a caller.
 type call struct {
 	// server is nil once report was called.
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -45,8 +45,12 @@
 type orderedPlacer struct {
 	upstreams []place.Upstream
 	panics    bool
+	// expired names an upstream whose grants are no longer current.
+	expired string
 }
 
+func (p *orderedPlacer) Current(g place.Grant) bool { return g.Upstream.ID != p.expired }
+
 func (p *orderedPlacer) next(avoid []string) (place.Upstream, bool) {
 	for _, u := range p.upstreams {
 		if !slices.Contains(avoid, u.ID) {
@@ -132,6 +136,15 @@
 // addUpstream adds an upstream that reads the header of a request and then calls
 // answer with the connection.
 func (g *gateway) addUpstream(id string, answer func(c net.Conn)) {
+	g.addListener(id, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			answer(c)
+		}
+	})
+}
+
+// addListener adds an upstream that calls serve with each connection.
+func (g *gateway) addListener(id string, serve func(c net.Conn)) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(g.t, err)
 	g.t.Cleanup(func() { _ = l.Close() })
@@ -144,9 +157,7 @@
 			}
 			g.group.Go("upstream connection", func(context.Context) error {
 				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					answer(c)
-				}
+				serve(c)
 				return nil
 			})
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -42,8 +43,6 @@
 	// upstream may send between two events that make progress. Several hundred
 	// streams at once must fit into the memory of a small host.
 	maxEventBytes = 128 << 10
-	// maxHeadBytes is the maximum size of the head of a response.
-	maxHeadBytes = 64 << 10
 	// writeTimeout bounds each write to a caller.
 	writeTimeout = 10 * time.Second
 	// bodyTimeout is the maximum time for reading a request body, the same as
@@ -127,6 +126,8 @@
 type Placer interface {
 	// Acquire asks the scheduler for an engine.
 	Acquire(ctx context.Context, req place.Request) (place.Verdict, error)
+	// Current reports whether a grant may still be used.
+	Current(g place.Grant) bool
 	// ReportFirstEvent reports the first event of a granted request.
 	ReportFirstEvent(g place.Grant)
 	// ReportEnded reports the end of a granted request.
@@ -192,23 +193,14 @@
 
 // New returns a server.
 func New(o Options) *Server {
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-			defer cancel()
-			c, err := o.Dial(ctx, address)
-			return c, fault.Wrap(fault.Unreachable, err, "cannot connect to %s", address)
-		},
-		// Each attempt opens its own connection. On a reused connection net/http
-		// repeats some requests after a failure, and a late response could be
-		// taken for that of the next request.
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeadBytes,
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		return o.Dial(ctx, address)
 	}
 	return &Server{
 		options: o, started: time.Now(), random: o.Random, metrics: newMetrics(o.Metrics),
-		client:  &http.Client{Transport: transport, CheckRedirect: returnRedirect},
+		client:  &http.Client{Transport: dialer.Transport(dial), CheckRedirect: returnRedirect},
 		buffers: sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }},
 	}
 }
--- a/internal/relay/reserve.go
+++ b/internal/relay/reserve.go
@@ -130,18 +130,26 @@
 		return
 	}
 	r.server.options.Group.Go("release", func(ctx context.Context) error {
-		if r.renewal != nil {
-			r.renewal.Stop()
-			// renew never returns an error.
-			_ = r.renewal.Wait()
-		}
-		for _, h := range r.helpers {
-			r.releaseOne(ctx, h)
+		if err := group.Call(ctx, r.releaseAll); err != nil {
+			r.log.WithError(err).WithField("event", "release_failed").Error("the release of memory on the helpers failed unexpectedly")
 		}
 		return nil
 	})
 }
 
+// releaseAll waits for the end of the renewal, and releases all reservations.
+func (r *reservation) releaseAll(ctx context.Context) error {
+	var err error
+	if r.renewal != nil {
+		r.renewal.Stop()
+		err = r.renewal.Wait()
+	}
+	for _, h := range r.helpers {
+		r.releaseOne(ctx, h)
+	}
+	return err
+}
+
 // releaseOne releases the reservation on one helper. If no try is answered, the
 // reservation expires by itself.
 func (r *reservation) releaseOne(ctx context.Context, h place.Helper) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -211,6 +211,12 @@
 func (c *call) exchange(ctx context.Context, a *attempt, st *stream) error {
 	u := a.grant.Upstream
 	c.upstream = u.ID
+	if !c.server.options.Placer.Current(a.grant) {
+		// This process was paused since the grant, or the engine left.
+		a.ended.Outcome, a.ended.Fingerprint = place.Completed, 0
+		c.logDecision("grant_expired", "a grant expired before the request was sent", logrus.Fields{"upstream": u.ID})
+		return fault.New(fault.Unreachable, "the grant of engine %s expired", u.ID)
+	}
 	timeout := c.firstEventTimeout(a.grant)
 	a.failover.arm(timeout, c.failoverRequest(st, timeout, a.grant))
 	c.logDecision("sent", "a request was sent to an engine", logrus.Fields{
