verbenapierctl report: where callers lost, from the logs of gateways

Change: internal/audit counts requests by route, window and cause, with the waiting for engines and the error of the scheduler's estimate by prompt length. The final line of a request names its goals. story.Scan is the reading part of explain.

--- a/docs/operators/pages_test.go
+++ b/docs/operators/pages_test.go
@@ -129,7 +129,7 @@
 	}
 	require.Equal(t, []string{
 		"alarms", "bad-configuration", "certificates", "commands", "configuration", "drain", "errors", "gateway-settings", "installing",
-		"mass-replacement", "models", "partition", "platform-outage", "quarantine", "settings",
+		"mass-replacement", "models", "partition", "platform-outage", "quarantine", "report", "settings",
 	}, cmdset.Topics())
 	topicReference := regexp.MustCompile("verbenapierctl help ([a-z-]+)")
 	for _, topic := range cmdset.Topics() {
--- a/internal/cmdset/run.go
+++ b/internal/cmdset/run.go
@@ -58,6 +58,7 @@
 		"cert node":         certNode,
 		"cert operator":     certOperator,
 		"explain":           explain,
+		"report":            report,
 		"help":              help,
 	}
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -237,6 +237,7 @@
 	}
 	if c.route != nil {
 		fields["route"] = c.route.Name
+		fields["goal_ms"], fields["gap_goal_ms"] = c.route.Goal.Milliseconds(), c.route.GapGoal.Milliseconds()
 	}
 	if c.events > 0 {
 		fields["first_ms"], fields["pause_ms"] = c.firstEvent.Milliseconds(), c.longestPause.Milliseconds()
--- a/internal/story/trace.go
+++ b/internal/story/trace.go
@@ -3,8 +3,6 @@
 package story
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -15,9 +13,6 @@
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
-// maxLine is the longest line of a log that can be read, in bytes.
-const maxLine = 1 << 20
-
 // Line is a parsed line of a log.
 type Line struct {
 	Time   time.Time
@@ -26,9 +21,9 @@
 	Fields map[string]any
 }
 
-// text returns the value of a field as text, or an empty string if the line has
+// Text returns the value of a field as text, or an empty string if the line has
 // no such field.
-func (l Line) text(field string) string {
+func (l Line) Text(field string) string {
 	if v, ok := l.Fields[field]; ok {
 		return fmt.Sprint(v)
 	}
@@ -66,51 +61,21 @@
 
 // Add reads a log. Lines that cannot be parsed are counted in LinesUnreadable.
 func (t *Trace) Add(r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		text := scanner.Text()
-		if strings.TrimSpace(text) == "" {
-			continue
-		}
-		t.LinesRead++
-		// Log collectors may prefix the line with a time or a host.
-		if at := strings.IndexByte(text, '{'); at >= 0 {
-			text = text[at:]
-		}
-		line, ok := parse(text)
+	read, unreadable, err := Scan(r, func(line Line) {
 		switch {
-		case !ok:
-			t.LinesUnreadable++
 		case t.isAboutRequest(line):
 			t.Lines = append(t.Lines, line)
 		case contextEvents[line.Event]:
 			t.contextLines = append(t.contextLines, line)
 		}
-	}
-	return fault.Wrap(fault.Invalid, scanner.Err(), "the log cannot be read")
+	})
+	t.LinesRead += read
+	t.LinesUnreadable += unreadable
+	return err
 }
 
-// parse parses a line of a log. It returns false if the line is not a JSON
-// object with an event and a time.
-func parse(text string) (Line, bool) {
-	fields := map[string]any{}
-	if json.Unmarshal([]byte(text), &fields) != nil {
-		return Line{}, false
-	}
-	l := Line{Fields: fields}
-	l.Event, l.Node = l.text("event"), l.text("node")
-	at, err := time.Parse(time.RFC3339Nano, l.text("time"))
-	l.Time = at
-	return l, l.Event != "" && err == nil
-}
-
-// isAboutRequest reports whether a line is about the request. In lines of the
-// scheduler the id is followed by a slash and the number of the attempt.
-func (t *Trace) isAboutRequest(l Line) bool {
-	id, _, _ := strings.Cut(l.text("request"), "/")
-	return id == t.ID
-}
+// isAboutRequest reports whether a line is about the request.
+func (t *Trace) isAboutRequest(l Line) bool { return l.RequestID() == t.ID }
 
 // Assemble sorts the lines by time and fills Related. It returns an error of kind
 // NotFound if no line is about the request.
@@ -145,7 +110,7 @@
 		if l.Node != "" && l.Node == own.Node && l.Event != "member_state" {
 			return true
 		}
-		if up := own.text("upstream"); up != "" && up == l.text("upstream") {
+		if up := own.Text("upstream"); up != "" && up == l.Text("upstream") {
 			return true
 		}
 	}
@@ -159,8 +124,8 @@
 	if final == nil {
 		return "The host that took the request wrote no final line: the host may have ended, or the line was dropped."
 	}
-	status, errorText := final.text("status"), final.text("error")
-	switch final.text("outcome") {
+	status, errorText := final.Text("status"), final.Text("error")
+	switch final.Text("outcome") {
 	case "":
 		if n := len(t.linesOf("broken")); n > 0 {
 			return fmt.Sprintf("Served with status %s after %d broken attempts; the stream went on at another engine.", status, n)
@@ -168,18 +133,18 @@
 		return fmt.Sprintf("Served with status %s.", status)
 	case "overloaded":
 		if r := t.lastLineOf("refused"); r != nil {
-			return fmt.Sprintf("Refused by the scheduler, not run: %s; the caller was told to come back after %s ms.", r.text("reason"), r.text("retry_after_ms"))
+			return fmt.Sprintf("Refused by the scheduler, not run: %s; the caller was told to come back after %s ms.", r.Text("reason"), r.Text("retry_after_ms"))
 		}
 		return "Refused, not run: " + errorText + "."
 	case "upstream_lost":
 		if b := t.lastLineOf("broken"); b != nil {
-			return fmt.Sprintf("Upstream %s broke off after %s events (%s), and the request could not go on at another engine.", b.text("upstream"), b.text("events"), b.text("error"))
+			return fmt.Sprintf("Upstream %s broke off after %s events (%s), and the request could not go on at another engine.", b.Text("upstream"), b.Text("events"), b.Text("error"))
 		}
-		return fmt.Sprintf("Sent to upstream %s, which did not answer as it should; whether it ran is unknown: %s.", final.text("upstream"), errorText)
+		return fmt.Sprintf("Sent to upstream %s, which did not answer as it should; whether it ran is unknown: %s.", final.Text("upstream"), errorText)
 	case "time_limit_exceeded":
-		return fmt.Sprintf("Upstream %s had not answered when the time limit passed after %s ms.", final.text("upstream"), final.text("ms"))
+		return fmt.Sprintf("Upstream %s had not answered when the time limit passed after %s ms.", final.Text("upstream"), final.Text("ms"))
 	case "canceled":
-		return fmt.Sprintf("The caller left after %s ms.", final.text("ms"))
+		return fmt.Sprintf("The caller left after %s ms.", final.Text("ms"))
 	}
 	return fmt.Sprintf("Answered %s: %s.", status, errorText)
 }
@@ -208,7 +173,7 @@
 		case "time", "event", "node", "level", "msg", "request":
 			continue
 		}
-		if v := l.text(name); v != "" {
+		if v := l.Text(name); v != "" {
 			parts = append(parts, name+"="+v)
 		}
 	}
