place: remove the price of prefill

Hypothesis: holding the longest prompts back while most engines are busy is worth nothing since a long part keeps its engines until the first event and prompts that cannot be served in time are refused. Change: prefillPrice, maxPrefillPrice and spareEngineShare are gone.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -38,14 +38,6 @@
 	// widePrefill is the prefill time above which a prompt is assumed to take most
 	// engines.
 	widePrefill = time.Second
-	// spareEngineShare is the fraction of the engines that may be busy before
-	// prefill time has a price.
-	spareEngineShare = 0.6
-	// maxPrefillPrice is the price of a second of prefill while all engines are
-	// busy. It is what a prompt of 250,000 tokens yields for each second of its
-	// prefill. Longer prompts yield less, so they wait until fewer engines are busy
-	// or until they are urgent.
-	maxPrefillPrice = 1.6
 	// likelyOutputShare is the fraction of OutputTokens that a request is assumed to
 	// generate when deciding whether it can end in time.
 	likelyOutputShare = 0.3
@@ -119,11 +111,8 @@
 	goalLeft := j.goalLeft(now) - firstEventMargin
 	onTime := best.expected <= goalLeft
 	harmless := best.loss < negligibleLoss
-	costly := p.prefillPrice(engines)*j.prefill.Seconds() > lateLoss*j.value
 	unattainable := j.prefill/time.Duration(min(len(engines), 1+maxHelpers)) > goalLeft
 	switch {
-	case costly && !p.urgent(j, len(engines), now):
-		return plan{}, false
 	case harmless && (onTime || unattainable):
 		return best, true
 	case onTime && goalLeft-best.expected > deferSlack:
@@ -136,19 +125,6 @@
 	return plan{}, false
 }
 
-// prefillPrice returns what a second of prefill on one engine is worth to other
-// requests now. It grows with the fraction of busy engines.
-func (p *Pool) prefillPrice(engines []candidate) float64 {
-	busy := 0
-	for _, c := range engines {
-		if c.backlog > 0 || 2*c.slotsUsed >= c.Slots {
-			busy++
-		}
-	}
-	used := float64(busy) / float64(len(engines))
-	return maxPrefillPrice * max(0, used-spareEngineShare) / (1 - spareEngineShare)
-}
-
 // eventTime returns the usual time between events of a stream on a full engine.
 func (p *Pool) eventTime() time.Duration {
 	return p.model.EventTime(p.model.Slots, p.model.Slots*referenceTokens)
