--- a/internal/place/inspect.go
+++ b/internal/place/inspect.go
@@ -18,14 +18,6 @@
 	inspectTimeout = 400 * time.Millisecond
 	// inspectIdle is how long inspections go on after the last call of Acquire.
 	inspectIdle = 500 * time.Millisecond
-	// stateTimeout is the time without any call or report of a node after which
-	// the owner is assumed not to know the running requests. Nodes report every
-	// reportInterval.
-	stateTimeout = 2 * reportInterval
-	// maxLoadWait is how long requests wait for the loads of the engines on a node
-	// that does not know the running requests. Engines answer within some ms; a
-	// dead engine must not keep requests from the others.
-	maxLoadWait = 200 * time.Millisecond
 	// minUnreported is the smallest number of unreported requests of an engine that
 	// is taken into account. The load of an engine is older than the reports of the
 	// nodes, so the two differ by one or two requests.
@@ -46,9 +38,6 @@
 // keep running the requests of dead hosts for a time. Inspect returns when the
 // context ends.
 func (p *Pool) Inspect(ctx context.Context, query Inspector) error {
-	p.mu.Lock()
-	p.inspectable = true
-	p.mu.Unlock()
 	ticker := time.NewTicker(inspectInterval)
 	defer ticker.Stop()
 	for {
@@ -73,24 +62,14 @@
 }
 
 // inspectIfUnknown requests an inspection if this node may not know all running
-// requests. If no node has called or reported for stateTimeout, placement also waits
-// for the loads of the engines. The caller holds mu.
+// requests. The caller holds mu.
 func (p *Pool) inspectIfUnknown(now time.Time) {
-	if p.inspectable && now.Sub(later(p.lastAcquire, p.lastReport)) > stateTimeout {
-		p.awaitingSince = now
-		p.requestInspection()
-	} else if p.loadUnknown && now.Sub(p.lastAcquire) > inspectIdle {
+	if p.loadUnknown && now.Sub(p.lastAcquire) > inspectIdle {
 		p.requestInspection()
 	}
 	p.lastAcquire = now
 }
 
-// awaitingLoads reports whether placement waits for the loads of the engines. The
-// caller holds mu.
-func (p *Pool) awaitingLoads(now time.Time) bool {
-	return !p.awaitingSince.IsZero() && now.Sub(p.awaitingSince) < maxLoadWait
-}
-
 // requestInspection has the engines asked for their load. The caller holds mu.
 func (p *Pool) requestInspection() {
 	p.loadUnknown = true
@@ -158,7 +137,6 @@
 		unreported += e.unreported
 	}
 	p.loadUnknown = unreported > 0
-	p.awaitingSince = time.Time{}
 	if unreported > 0 {
 		p.log.WithFields(logrus.Fields{"event": "unreported_load", "cell": p.cell, "requests": unreported, "engines": len(loads)}).
 			Info("engines run requests that no host reports")
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -77,12 +77,8 @@
 	// know. A value on inspectNow starts an inspection.
 	loadUnknown bool
 	inspectNow  chan struct{}
-	// inspectable is set once Inspect runs.
-	inspectable bool
-	// lastAcquire is when a request last arrived, lastReport when a node last
-	// reported, and awaitingSince when placement began to wait for the loads of the
-	// engines. awaitingSince is zero once the loads are known.
-	lastAcquire, lastReport, awaitingSince time.Time
+	// lastAcquire is when a request last arrived.
+	lastAcquire time.Time
 }
 
 // crashRecord counts the consecutive engine failures of a request.
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -15,7 +15,7 @@
 // can no longer be served. The caller holds mu.
 func (p *Pool) dispatch(now time.Time) {
 	p.removeAbandoned(now)
-	if len(p.waiting) == 0 || p.awaitingLoads(now) {
+	if len(p.waiting) == 0 {
 		return
 	}
 	p.sortWaiting(now)
--- a/internal/place/report.go
+++ b/internal/place/report.go
@@ -12,7 +12,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	p.lastReport = now
 	for _, ended := range r.Ended {
 		p.applyEnded(ended, now)
 	}
