relay: state the time of the attempt to plain upstreams again

Change: the limit is passed on explicitly. Result: TestRemainingOfAttempt fails without it; internal/relay and platform pass.

--- a/internal/relay/answers_test.go
+++ b/internal/relay/answers_test.go
@@ -190,3 +190,22 @@
 	require.NoError(t, err)
 	require.Equal(t, eventText(1)+eventText(2)+eventText(3), body)
 }
+
+// Guards against an upstream that works on a request for longer than the gateway
+// waits for this attempt.
+func TestRemainingOfAttempt(t *testing.T) {
+	g := newGateway(t)
+	remaining := make(chan string, 1)
+	g.addListener("p1", func(c net.Conn) {
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			remaining <- r.Header.Get("Remaining")
+			write(c, upstreamHead+"Content-Length: 2\r\n\r\nok")
+		}
+	})
+	_, _, err := g.get("/plain/x")
+	require.NoError(t, err)
+	got, err := time.ParseDuration(<-remaining)
+	require.NoError(t, err)
+	require.Positive(t, got)
+	require.LessOrEqual(t, got, time.Duration(attemptShare*float64(20*time.Second)))
+}
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -34,7 +34,9 @@
 	return RequestMeta{ID: h.Get("Id"), Remaining: 20 * time.Second, PromptTokens: 100, OutputTokens: 10}
 }
 
-func (headerCodec) SetHeaders(http.Header, ForwardOptions) {}
+func (headerCodec) SetHeaders(h http.Header, o ForwardOptions) {
+	h.Set("Remaining", o.Remaining.String())
+}
 
 func (headerCodec) ReadVerdict(resp *http.Response) ResponseVerdict {
 	return ResponseVerdict{Signed: resp.Header.Get("Signature") != "", ID: resp.Header.Get("Id")}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -105,15 +105,16 @@
 	outcome := place.EngineFailed
 	defer func() { c.server.options.Placer.ReleasePlain(u, outcome) }()
 	ctx, cancel := context.WithCancelCause(ctx)
+	var options ForwardOptions
 	if c.route.Idempotent && c.attempts+1 < c.route.Attempts {
 		// The limit applies until the response is buffered. The rest of a large body
 		// may take longer, as nothing can be sent again then.
-		attemptTimeout := time.Duration(attemptShare * float64(time.Until(c.deadline)))
-		defer time.AfterFunc(attemptTimeout, func() { cancel(errUnresponsive) }).Stop()
+		options.Remaining = time.Duration(attemptShare * float64(time.Until(c.deadline)))
+		defer time.AfterFunc(options.Remaining, func() { cancel(errUnresponsive) }).Stop()
 	}
 	c.upstream = u.ID
 	c.logDecision("sent", "a request was sent to an upstream", logrus.Fields{"upstream": u.ID, "attempt": c.attempts + 1})
-	resp, err := c.send(ctx, u, ForwardOptions{})
+	resp, err := c.send(ctx, u, options)
 	if fault.Is(err, fault.Unreachable) {
 		cancel(nil)
 		return nil, err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,6 +87,8 @@
 // ForwardOptions holds what the gateway adds to the header of a request that it
 // forwards.
 type ForwardOptions struct {
+	// Remaining is how long the upstream may work on the request. Zero means until
+	// the deadline of the request.
 	Remaining    time.Duration
 	Upstream     string
 	Organisation string
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -35,9 +35,9 @@
 		req.Header.Set("User-Agent", "")
 	}
 	o.Upstream, o.Organisation = u.ID, c.organisation.Name
-	o.Remaining = time.Until(c.deadline)
-	if deadline, ok := ctx.Deadline(); ok {
-		o.Remaining = min(o.Remaining, time.Until(deadline))
+	remaining := time.Until(c.deadline)
+	if o.Remaining <= 0 || o.Remaining > remaining {
+		o.Remaining = remaining
 	}
 	c.server.options.Codec.SetHeaders(req.Header, o)
 	resp, err := c.server.client.Do(req)
