place: remove the mixing loss

Hypothesis: a penalty for prefilling a long prompt beside short streams that stay on time is worth nothing. Change: mixingLoss is gone; only streams that become late or are abandoned count.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -54,10 +54,6 @@
 	// part on the same engine may starve. The prompt therefore waits in the queue of
 	// the scheduler instead.
 	maxPrefillOverlap = 40 * time.Millisecond
-	// mixingLoss is the loss for each stream with the tightest gap on an engine
-	// that prefills a long prompt, even when the stream is not delayed: new short
-	// prompts have to go to other engines meanwhile.
-	mixingLoss = 0.02
 	// firstEventIntervals is the time from the end of prefill to the first event.
 	// joinIntervals is the usual wait until a new request joins the batch, as the
 	// engine first completes its current pass. Both are multiples of the usual
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -36,7 +36,6 @@
 // their callers if it takes longer than abandon. Weight is the sum of their values.
 type streamGroup struct {
 	gap, slack, abandon time.Duration
-	count               int
 	weight              float64
 }
 
@@ -67,7 +66,6 @@
 			gap: gap, slack: p.prefillSlack(gap), abandon: scale(route.AbandonTimeout(0, gap), abandonShare),
 		})
 	}
-	c.streams[i].count += count
 	c.streams[i].weight += weight
 }
 
@@ -170,7 +168,7 @@
 	long := p.isLong(j)
 	for i := range engines {
 		c := &engines[i]
-		c.loss = c.streamLoss(c.backlog+scale(part, c.slowdown), long, p.tightestGap)
+		c.loss = c.streamLoss(c.backlog + scale(part, c.slowdown))
 	}
 	prefillLimit := j.goalLeft(now) - firstEventMargin - p.firstEventDelay()
 	slices.SortFunc(engines, func(a, b candidate) int {
@@ -247,9 +245,8 @@
 }
 
 // streamLoss returns the value that the streams of an engine lose, being late or
-// abandoned, when a prefill delays them. For a long prompt each stream with the
-// tightest gap adds mixingLoss even if it is on time.
-func (c *candidate) streamLoss(prefill time.Duration, long bool, tightest time.Duration) float64 {
+// abandoned, when a prefill delays them.
+func (c *candidate) streamLoss(prefill time.Duration) float64 {
 	loss := 0.0
 	for _, g := range c.streams {
 		switch {
@@ -257,8 +254,6 @@
 			loss += abandonLoss * g.weight
 		case prefill > g.slack:
 			loss += lateLoss * g.weight
-		case long && g.gap <= tightest:
-			loss += mixingLoss * float64(g.count)
 		}
 	}
 	return loss
