place: a refusal after waiting states when the queue has passed

Hypothesis: a request that found no place in time was told to come back after 0.5 s, when the requests before it still waited; it was refused again. Change: Retry-After is the time of the prefill that waits before it plus its own. TestRetryAfterOfWaitingRequest fails without it.

--- a/internal/place/admit.go
+++ b/internal/place/admit.go
@@ -60,7 +60,7 @@
 	var ahead time.Duration
 	over := p.overShare()
 	for _, w := range p.waiting {
-		if p.compareWaiting(w, j, over, now) <= 0 {
+		if w != j && p.compareWaiting(w, j, over, now) <= 0 {
 			ahead += w.prefill
 		}
 	}
@@ -75,8 +75,11 @@
 // outOfTime returns a refusal if a waiting request can no longer end in time,
 // otherwise nil.
 func (p *Pool) outOfTime(j *job, now time.Time) *Refusal {
-	if p.firstEventLeft(j, now) > p.fastestFirstEvent(j, len(p.engines)) {
+	need := p.fastestFirstEvent(j, len(p.engines))
+	if p.firstEventLeft(j, now) > need {
 		return nil
 	}
-	return &Refusal{Reason: "no place became free in time", RetryAfter: minBarTime}
+	// The requests that wait before it have their turn first.
+	wait := p.queueDelay(j, len(p.engines), now)
+	return &Refusal{Reason: "no place became free in time", RetryAfter: max(wait+need, minBarTime)}
 }
--- a/internal/place/pool_test.go
+++ b/internal/place/pool_test.go
@@ -419,6 +419,30 @@
 	pool.Report(r)
 }
 
+// Guards against a refusal after waiting that asks the caller to come back while the
+// requests before it still wait, when it would be refused again.
+func TestRetryAfterOfWaitingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := NewPool("n", "s", discardLogger())
+		pool.SetEngines(model, tightestGap, engines(1))
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		submit := func(id string, tokens int) *job {
+			req := longRequest(tokens)
+			req.ID = id
+			j := pool.submit(req, time.Now())
+			require.Nil(t, j.refusal)
+			return j
+		}
+		longest := submit("longest", 182_000)
+		ahead := submit("first", 100_000).prefill + submit("second", 100_000).prefill
+		now := time.Now().Add(longest.AbandonTimeout - time.Second)
+		r := pool.outOfTime(longest, now)
+		require.NotNil(t, r)
+		require.GreaterOrEqual(t, r.RetryAfter, ahead)
+	})
+}
+
 // Guards against an unexpected error in the placement of one request that ends the
 // process, or keeps the others from being placed.
 func TestPanicInPlacement(t *testing.T) {
