relay: log the parts of prompts and how attempts ended

Cause: the logs of the incident do not show which parts the prompts of crashing requests have, nor whether an attempt had begun when its engine ended, so two hypotheses cannot be told apart.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -242,6 +242,9 @@
 	if c.events > 0 {
 		fields["first_ms"], fields["pause_ms"] = c.firstEvent.Milliseconds(), c.longestPause.Milliseconds()
 	}
+	if len(c.meta.SharedParts) > 0 {
+		fields["parts"] = c.meta.SharedParts
+	}
 	if c.resumptions > 0 {
 		fields["resumed"] = c.resumptions
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,6 +78,9 @@
 	// of the output, both in tokens.
 	PromptTokens int
 	OutputTokens int
+	// SharedParts identifies the parts of the prompt that other requests may have
+	// too.
+	SharedParts []string
 	// After is the number of the last event of the stream that the caller has
 	// received.
 	After    int64
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/verbenapier/verbenapier/internal/header"
@@ -51,6 +52,18 @@
 	return nil, fault.Wrap(fault.UpstreamLost, err, "upstream %s did not answer", u.ID)
 }
 
+// connectionEnded reports whether an attempt failed because the upstream ended the
+// connection, and not because of a time limit, the caller or the content of the
+// answer.
+func connectionEnded(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // promisesNotRun reports whether callers take a status as a promise that the
 // request was not run.
 func promisesNotRun(status int) bool {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -304,6 +304,7 @@
 	}
 	c.logDecision("broken", "an attempt on an engine failed before the answer was complete", logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "events": c.events, "error": err.Error(), "resumable": c.route.Resumable,
+		"begun": a.begun, "upstream_ended": connectionEnded(err), "parts": c.meta.SharedParts,
 	})
 	return err
 }
