--- /dev/null
+++ b/internal/crash/tracker.go
@@ -0,0 +1,248 @@
+package crash
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// maxRecords bounds the parts that are remembered. The least recently used are
+	// forgotten first.
+	maxRecords = 8192
+	// maxEngines bounds the engines that are remembered for a part.
+	maxEngines = 16
+	// A part that was never answered is suspected after the first end of an engine.
+	// One that was answered before is suspected after endsOfKnown ends without an
+	// answer between them, since most such ends have another cause.
+	endsOfKnown = 3
+	// suspectTime is how long a part is suspected after the last end of an engine.
+	suspectTime = 5 * time.Minute
+	// minQuarantine is the length of the first quarantine of a part. Each further
+	// one is twice as long as the one before, up to maxQuarantine. Between two, a
+	// request with the part runs as a trial.
+	minQuarantine = 2 * time.Minute
+	maxQuarantine = time.Hour
+)
+
+// Verdict states how a request may run.
+type Verdict struct {
+	// RefusedFor is how much longer the request is refused, zero if it is not.
+	RefusedFor time.Duration
+	// Suspects are the parts for which the request runs as a trial, if any.
+	Suspects []Part
+}
+
+// record is what is known of a part.
+type record struct {
+	// engines are the processes that ended on the part since it was last answered.
+	engines []string
+	endedAt time.Time
+	// answered is set once a request with the part began to be answered.
+	answered bool
+}
+
+func (r *record) suspected(now time.Time) bool {
+	limit := 1
+	if r.answered {
+		limit = endsOfKnown
+	}
+	return len(r.engines) >= limit && now.Sub(r.endedAt) < suspectTime
+}
+
+// Tracker keeps the suspected and the quarantined parts. It is safe for concurrent
+// use.
+type Tracker struct {
+	mu      sync.Mutex
+	records *simplelru.LRU[Part, *record]
+	// quarantines are by Key. Those that ended are kept for maxQuarantine.
+	quarantines map[string]Quarantine
+	// refuted holds the keys of quarantines whose parts turned out to be sound, and
+	// when.
+	refuted map[string]time.Time
+}
+
+// NewTracker returns a tracker that suspects nothing.
+func NewTracker() *Tracker {
+	records, err := simplelru.NewLRU[Part, *record](maxRecords, nil)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &Tracker{records: records, quarantines: map[string]Quarantine{}, refuted: map[string]time.Time{}}
+}
+
+// Check returns how a request may run.
+func (t *Tracker) Check(c Content) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	var v Verdict
+	for _, q := range t.quarantines {
+		if q.active(now) && c.covers(q.Parts) {
+			v.RefusedFor = max(v.RefusedFor, q.Until.Sub(now))
+		}
+	}
+	v.Suspects = t.suspects(c, now)
+	return v
+}
+
+// suspects returns the suspected parts of a request on which most engines ended. The
+// others were only present when some of these engines ended. The caller holds mu.
+func (t *Tracker) suspects(c Content, now time.Time) []Part {
+	var suspects []Part
+	most := 0
+	for _, p := range c.parts() {
+		r, ok := t.records.Peek(p)
+		if !ok || !r.suspected(now) {
+			continue
+		}
+		if len(r.engines) > most {
+			suspects, most = nil, len(r.engines)
+		}
+		if len(r.engines) == most {
+			suspects = append(suspects, p)
+		}
+	}
+	slices.Sort(suspects)
+	return suspects
+}
+
+// record returns the record of a part, which it adds if necessary. The caller holds
+// mu.
+func (t *Tracker) record(p Part) *record {
+	r, ok := t.records.Get(p)
+	if !ok {
+		r = &record{}
+		t.records.Add(p, r)
+	}
+	return r
+}
+
+// Ended records the end of an engine. It returns the quarantine that follows from
+// it, if any.
+func (t *Tracker) Ended(report Report) (Quarantine, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	parts := report.Content.parts()
+	if report.Begun {
+		parts = slices.DeleteFunc(parts, func(p Part) bool { return p != report.Content.Whole })
+	}
+	for _, p := range parts {
+		r := t.record(p)
+		r.answered = r.answered || report.Begun
+		r.endedAt = now
+		if !slices.Contains(r.engines, report.Engine) && len(r.engines) < maxEngines {
+			r.engines = append(r.engines, report.Engine)
+		}
+	}
+	t.expire(now)
+	suspects := slices.DeleteFunc(slices.Clone(report.Suspects), func(p Part) bool { return !slices.Contains(parts, p) })
+	if len(suspects) == 0 {
+		return Quarantine{}, false
+	}
+	q := Quarantine{Parts: suspects, Engine: report.Engine, Term: minQuarantine}
+	if last, ok := t.quarantines[q.Key()]; ok {
+		if last.active(now) {
+			return last, false
+		}
+		q.Term = min(2*last.Term, maxQuarantine)
+	}
+	q.Until = now.Add(q.Term)
+	t.quarantines[q.Key()] = q
+	delete(t.refuted, q.Key())
+	for _, p := range q.Parts {
+		t.record(p).endedAt = q.Until
+	}
+	return q, true
+}
+
+// expire forgets what no longer matters. The caller holds mu.
+func (t *Tracker) expire(now time.Time) {
+	for key, q := range t.quarantines {
+		if now.Sub(q.Until) > maxQuarantine {
+			delete(t.quarantines, key)
+		}
+	}
+	for key, at := range t.refuted {
+		if now.Sub(at) > maxQuarantine {
+			delete(t.refuted, key)
+		}
+	}
+}
+
+// Began records that a request began to be answered. The shared parts of its content
+// are sound. The request as a whole may still end its engine later.
+func (t *Tracker) Began(c Content) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range c.Shared {
+		r := t.record(p)
+		r.engines, r.answered = nil, true
+	}
+	if r, ok := t.records.Peek(c.Whole); ok {
+		r.answered = true
+	}
+	t.refute(c.Shared)
+}
+
+// Completed records that a request was answered to the end.
+func (t *Tracker) Completed(c Content) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.records.Remove(c.Whole) {
+		t.refute([]Part{c.Whole})
+	}
+}
+
+// refute removes sound parts from all quarantines. The caller holds mu.
+func (t *Tracker) refute(sound []Part) {
+	for key, q := range t.quarantines {
+		left := slices.DeleteFunc(slices.Clone(q.Parts), func(p Part) bool { return slices.Contains(sound, p) })
+		if len(left) == len(q.Parts) {
+			continue
+		}
+		delete(t.quarantines, key)
+		t.refuted[key] = time.Now()
+		if q.Parts = left; len(left) > 0 {
+			t.quarantines[q.Key()] = q
+		}
+	}
+}
+
+// Adopt adds a quarantine that another host decided, unless it was refuted here.
+func (t *Tracker) Adopt(q Quarantine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := q.Key()
+	if _, ok := t.refuted[key]; ok || len(q.Parts) == 0 || !q.Until.After(t.quarantines[key].Until) {
+		return
+	}
+	t.quarantines[key] = q
+	// After the quarantine, its parts are on trial.
+	for _, p := range q.Parts {
+		r := t.record(p)
+		r.endedAt = q.Until
+		if !slices.Contains(r.engines, q.Engine) {
+			r.engines, r.answered = append(r.engines, q.Engine), false
+		}
+	}
+}
+
+// Quarantines returns the quarantines in force, and the keys of refuted ones.
+func (t *Tracker) Quarantines() (active []Quarantine, refuted []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for _, q := range t.quarantines {
+		if q.active(now) {
+			active = append(active, q)
+		}
+	}
+	for key := range t.refuted {
+		refuted = append(refuted, key)
+	}
+	return active, refuted
+}
--- a/internal/gate/adapter.go
+++ b/internal/gate/adapter.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/feed"
 	"github.com/verbenapier/verbenapier/internal/place"
 	"github.com/verbenapier/verbenapier/internal/relay"
@@ -20,6 +21,11 @@
 	Reserver relay.Reserver
 	// Load asks an engine for its current load.
 	Load place.Inspector
+	// Quarantines keeps quarantines on the platform.
+	Quarantines crash.Store
+	// DecodeQuarantine decodes a quarantine; ok is false if the key is not that of a
+	// quarantine.
+	DecodeQuarantine func(key string, data []byte) (q crash.Quarantine, ok bool, err error)
 	// DecodeDocument decodes the operators' configuration document; ok is false if
 	// the key is not that of the document.
 	DecodeDocument func(key string, data []byte) (c *route.Config, ok bool, err error)
--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/feed"
 	"github.com/verbenapier/verbenapier/internal/member"
@@ -81,6 +82,7 @@
 	members    *member.Table
 	feed       *feed.Feed
 	follower   *feed.Follower
+	crashes    *crash.Registry
 	state      *state
 	places     *place.Client
 	relay      *relay.Server
@@ -115,11 +117,11 @@
 	g.peerClient = wire.NewClient(g.group, o.Network.Dial)
 	g.peerClient.SetName(s.Name)
 	g.peerServer = wire.NewServer(g.group, g.mux, nil, g.log)
-	g.buildShared()
+	g.buildShared(metrics)
 	g.places = place.NewClient(place.ClientOptions{
 		Members: g.members, Caller: g.peerClient, Pool: g.state.Pool, Cells: g.state.Cells, Upstreams: g.state.Upstreams,
-		UpstreamGone: g.state.UpstreamGone,
-		Random:       newRandom(), Log: g.log,
+		UpstreamGone: g.state.UpstreamGone, Crashes: g.crashes,
+		Random: newRandom(), Log: g.log,
 	})
 	g.places.Register(g.mux)
 	g.relay = relay.New(relay.Options{
@@ -131,8 +133,8 @@
 }
 
 // buildShared builds what the gateways maintain together: the membership and
-// the copy of the platform's keys.
-func (g *Gateway) buildShared() {
+// the copy of the platform's keys, and what is known of content that ends engines.
+func (g *Gateway) buildShared(metrics tally.Scope) {
 	s := g.settings
 	g.members = member.New(member.Options{
 		Self: member.Member{
@@ -147,7 +149,11 @@
 		Feed: g.feed, Platform: g.adapter.Source, Caller: g.peerClient, Members: g.members, Random: newRandom(), Log: g.log,
 	})
 	g.follower.Register(g.mux)
-	g.state = newState(s.Name, g.feed, g.adapter, g.group, g.log)
+	g.crashes = crash.NewRegistry(crash.Options{
+		Members: g.members, Caller: g.peerClient, Store: g.adapter.Quarantines, Group: g.group, Log: g.log, Metrics: metrics.SubScope("crash"),
+	})
+	g.crashes.Register(g.mux)
+	g.state = newState(s.Name, g.feed, g.adapter, g.crashes, g.group, g.log)
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
@@ -187,6 +193,7 @@
 	g.group.Go("feed", g.follower.Run)
 	g.group.Go("state", g.state.Run)
 	g.group.Go("places", g.places.Run)
+	g.group.Go("quarantines", g.crashes.Run)
 	g.log.WithFields(logrus.Fields{"event": "started", "listen": g.settings.Listen, "peers": g.settings.PeerListen}).
 		Info("the gateway serves requests")
 	select {
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/verbenapier/verbenapier/internal/cells"
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/feed"
 	"github.com/verbenapier/verbenapier/internal/place"
 	"github.com/verbenapier/verbenapier/internal/route"
@@ -38,6 +39,7 @@
 	name    string
 	feed    *feed.Feed
 	adapter Adapter
+	crashes *crash.Registry
 	log     logrus.FieldLogger
 	group   *group.Group
 
@@ -78,9 +80,9 @@
 	invalid bool
 }
 
-func newState(name string, f *feed.Feed, a Adapter, g *group.Group, log logrus.FieldLogger) *state {
+func newState(name string, f *feed.Feed, a Adapter, crashes *crash.Registry, g *group.Group, log logrus.FieldLogger) *state {
 	return &state{
-		name: name, feed: f, adapter: a, log: log, group: g,
+		name: name, feed: f, adapter: a, crashes: crashes, log: log, group: g,
 		upstreams: map[string]*registration{}, services: map[string][]place.Upstream{},
 		gone: map[string]time.Time{}, pools: map[string]*place.Pool{},
 	}
@@ -121,6 +123,7 @@
 // refresh applies the current keys.
 func (s *state) refresh(now time.Time) {
 	live := s.feed.Live()
+	s.crashes.Sync(s.quarantines(live))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := false
@@ -138,6 +141,22 @@
 	}
 }
 
+// quarantines returns the quarantines on the platform.
+func (s *state) quarantines(live map[string]feed.Entry) []crash.Quarantine {
+	var list []crash.Quarantine
+	for key, entry := range live {
+		q, ok, err := s.adapter.DecodeQuarantine(key, entry.Value)
+		switch {
+		case err != nil:
+			s.log.WithError(err).WithFields(logrus.Fields{"event": "quarantine_unreadable", "key": key}).
+				Warn("a quarantine on the platform cannot be read and has no effect")
+		case ok:
+			list = append(list, q)
+		}
+	}
+	return list
+}
+
 // applyDocument puts a newer configuration in force and reports whether it did.
 // The caller holds mu.
 func (s *state) applyDocument(key string, entry feed.Entry) bool {
@@ -308,7 +327,7 @@
 	defer s.mu.Unlock()
 	pool := s.pools[cell]
 	if pool == nil {
-		pool = place.NewPool(s.name, cell, s.log)
+		pool = place.NewPool(s.name, cell, s.crashes.Tracker, s.log)
 		s.pools[cell] = pool
 		s.updatePool(cell, pool)
 		s.group.Go("pool", pool.Run)
--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -96,7 +96,7 @@
 // choose returns the engines for a request, or false if the request should wait.
 // The caller holds mu.
 func (p *Pool) choose(j *job, now time.Time) (plan, bool) {
-	engines := p.candidates(j, now)
+	engines, isolated := p.isolate(j, p.candidates(j, now), now)
 	if len(engines) == 0 {
 		return plan{}, false
 	}
@@ -104,6 +104,7 @@
 	if !ok {
 		return plan{}, false
 	}
+	best.isolated = isolated
 	goalLeft := j.goalLeft(now) - firstEventMargin
 	onTime := best.expected <= goalLeft
 	harmless := best.loss < negligibleLoss
--- a/internal/place/client.go
+++ b/internal/place/client.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/verbenapier/verbenapier/internal/cells"
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/member"
 	"github.com/verbenapier/verbenapier/internal/wire"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -55,6 +56,14 @@
 	Members() []member.Member
 }
 
+// Crashes is what this node knows of content that ends engines (see crash.Registry).
+type Crashes interface {
+	Check(c crash.Content) crash.Verdict
+	Began(c crash.Content)
+	Completed(c crash.Content)
+	Report(r crash.Report)
+}
+
 // ClientOptions are the dependencies of a Client.
 type ClientOptions struct {
 	Members Members
@@ -68,6 +77,7 @@
 	// UpstreamGone reports whether this node knows that an upstream is leaving or
 	// has left.
 	UpstreamGone func(id string) bool
+	Crashes      Crashes
 	Random       *rand.Rand
 	Log          logrus.FieldLogger
 }
@@ -86,8 +96,8 @@
 	running map[string]map[string]*RunningRequest
 	changed map[string]map[string]bool
 	ended   map[string][]EndedRequest
-	// grantedAt is when this node obtained the grants of running requests, by ID.
-	grantedAt map[string]time.Time
+	// grants holds the grants of running requests, by ID.
+	grants map[string]*heldGrant
 	// barredAt is when an owner last failed to answer.
 	barredAt map[string]time.Time
 	// listedRunning is set for cells whose last full report listed requests.
@@ -96,12 +106,22 @@
 	lastAnswer map[string]time.Time
 }
 
+// heldGrant is a grant of a running request.
+type heldGrant struct {
+	Grant
+	content crash.Content
+	// obtainedAt is when this node obtained the grant.
+	obtainedAt time.Time
+	// begun is set once the request has begun to be answered.
+	begun bool
+}
+
 // NewClient returns a client. Reports are sent by Run.
 func NewClient(o ClientOptions) *Client {
 	return &Client{
 		options: o, local: newLocalPicker(o.Random), wake: make(chan struct{}, 1),
 		running: map[string]map[string]*RunningRequest{}, changed: map[string]map[string]bool{},
-		ended: map[string][]EndedRequest{}, grantedAt: map[string]time.Time{}, barredAt: map[string]time.Time{}, listedRunning: map[string]bool{}, lastAnswer: map[string]time.Time{},
+		ended: map[string][]EndedRequest{}, grants: map[string]*heldGrant{}, barredAt: map[string]time.Time{}, listedRunning: map[string]bool{}, lastAnswer: map[string]time.Time{},
 	}
 }
 
@@ -129,6 +149,9 @@
 func (c *Client) Acquire(ctx context.Context, req Request) (Verdict, error) {
 	req.Node = c.options.Members.Self().Name
 	started := time.Now()
+	if r := quarantineRefusal(c.options.Crashes.Check(req.Content)); r != nil {
+		return Verdict{Refusal: r}, nil
+	}
 	var v Verdict
 	for i, cell := range c.cells(req) {
 		attempt := req.afterWait(time.Since(started))
@@ -152,15 +175,14 @@
 	return r
 }
 
-// cells returns the cells that are asked to place a request. Requests with the
-// same fingerprint go to the same cells, since the owner of a cell counts the
-// engines that a request crashed.
+// cells returns the cells that are asked to place a request. A repeated request goes
+// to the same cells.
 func (c *Client) cells(req Request) []string {
 	names := c.options.Cells(req.Service)
 	if len(names) == 0 {
 		return []string{req.Service}
 	}
-	key := strconv.FormatUint(req.Fingerprint, 36)
+	key := strconv.FormatUint(uint64(req.Content.Whole), 36)
 	names = cells.Rank(key, names, func(name string) string { return name })
 	return names[:min(len(names), maxCellsAsked)]
 }
@@ -199,7 +221,7 @@
 			c.track(req, *v.Grant)
 			if c.isStale(*v.Grant) {
 				// The owner's list of upstreams is older than this node's.
-				c.ReportEnded(*v.Grant, EndedRequest{Outcome: Rejected, Fault: v.Grant.Upstream.ID})
+				c.ReportEnded(*v.Grant, EndedRequest{Outcome: Rejected, Fault: v.Grant.Upstream.ID}, false)
 				req.Avoid = append(slices.Clone(req.Avoid), v.Grant.Upstream.ID)
 				// The next attempt has its own ID.
 				req.ID += "'"
@@ -211,37 +233,28 @@
 			return v, nil
 		}
 	}
-	return c.placeWithoutOwner(req), nil
+	return c.placeWithoutOwner(ctx, original.afterWait(time.Since(started)), req)
 }
 
 // placeWithoutOwner chooses an engine by the number and the failures of this node's
-// own requests at each engine.
-func (c *Client) placeWithoutOwner(req Request) Verdict {
+// own requests at each engine. Timed is the request with its remaining times.
+func (c *Client) placeWithoutOwner(ctx context.Context, timed, req Request) (Verdict, error) {
+	suspects, refusal, err := c.awaitTrial(ctx, req.Content, min(timed.AbandonTimeout, timed.Remaining))
+	if err != nil || refusal != nil {
+		return Verdict{Refusal: refusal}, err
+	}
 	u, ok := c.local.pick(c.options.Upstreams(req.Service), req.Avoid, "")
 	if !ok {
-		return Verdict{Refusal: &Refusal{Reason: "the service has no upstream", RetryAfter: minBarTime}}
+		return Verdict{Refusal: &Refusal{Reason: "the service has no upstream", RetryAfter: minBarTime}}, nil
 	}
-	g := Grant{ID: req.ID, Cell: req.Cell, Upstream: u, WithoutOwner: true}
+	g := Grant{ID: req.ID, Cell: req.Cell, Upstream: u, WithoutOwner: true, Suspects: c.trialAt(u, suspects)}
 	c.options.Log.WithFields(logrus.Fields{
 		"event": "placed_alone", "request": req.ID, "cell": req.Cell, "upstream": u.ID,
 	}).Warn("no owner answered; this node placed the request without knowing the load of its cell")
 	c.track(req, g)
-	return Verdict{Grant: &g}
+	return Verdict{Grant: &g}, nil
 }
 
-// AcquirePlain returns a server of a plain service. It asks no owner, since such
-// calls are short and servers refuse requests for which they have no room.
-func (c *Client) AcquirePlain(service string, avoid []string) (Upstream, bool) {
-	u, ok := c.local.pick(c.options.Upstreams(service), avoid, c.options.Members.Self().FailureDomain)
-	if ok {
-		c.local.addRequest(u.ID)
-	}
-	return u, ok
-}
-
-// ReleasePlain records how a call of a plain service ended.
-func (c *Client) ReleasePlain(u Upstream, o Outcome) { c.local.endRequest(u.ID, o) }
-
 // minCapacityShare is the fraction of the largest host's capacity that a host
 // needs to own a cell. Scheduling would slow down smaller hosts.
 const minCapacityShare = 0.75
@@ -304,9 +317,9 @@
 // its engines have not left since. A process that was paused finds its grants expired.
 func (c *Client) Current(g Grant) bool {
 	c.mu.Lock()
-	grantedAt, ok := c.grantedAt[g.ID]
+	held, ok := c.grants[g.ID]
 	c.mu.Unlock()
-	return ok && time.Since(grantedAt) < reportTimeout && !c.isStale(g)
+	return ok && time.Since(held.obtainedAt) < reportTimeout && !c.isStale(g)
 }
 
 // isStale reports whether a grant names an upstream that is leaving or has left.
@@ -340,7 +353,7 @@
 		c.running[req.Cell] = map[string]*RunningRequest{}
 	}
 	c.running[req.Cell][req.ID] = r
-	c.grantedAt[req.ID] = time.Now()
+	c.grants[req.ID] = &heldGrant{Grant: g, content: req.Content, obtainedAt: time.Now()}
 	if g.WithoutOwner {
 		c.markChanged(req.Cell, req.ID)
 	}
@@ -362,11 +375,13 @@
 	if r := c.running[g.Cell][g.ID]; r != nil {
 		r.HasFirstEvent = true
 		c.markChanged(g.Cell, g.ID)
+		c.recordBegin(c.grants[g.ID])
 	}
 }
 
 // ReportEnded records how a granted request ended for the next report.
-func (c *Client) ReportEnded(g Grant, e EndedRequest) {
+// UpstreamEnded says that the engine ended while it ran the request.
+func (c *Client) ReportEnded(g Grant, e EndedRequest, upstreamEnded bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e.ID = g.ID
@@ -374,9 +389,10 @@
 	if r == nil {
 		return
 	}
+	e.Crash = c.recordEnd(c.grants[g.ID], e.Outcome, upstreamEnded)
 	c.local.endRequest(r.Upstream, e.Outcome)
 	delete(c.running[g.Cell], e.ID)
-	delete(c.grantedAt, e.ID)
+	delete(c.grants, e.ID)
 	delete(c.changed[g.Cell], e.ID)
 	c.ended[g.Cell] = append(c.ended[g.Cell], e)
 	c.wakeRun()
--- a/internal/place/client_test.go
+++ b/internal/place/client_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenapier/verbenapier/internal/cells"
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/member"
 	"github.com/verbenapier/verbenapier/internal/wire"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -65,7 +66,8 @@
 	}
 	clients := map[string]*Client{}
 	for _, m := range n.members {
-		pool := NewPool(m.Name, "s", discardLogger())
+		crashes := crash.NewRegistry(crash.Options{Members: memberView{n, m}, Caller: n, Group: g, Log: discardLogger()})
+		pool := NewPool(m.Name, "s", crashes.Tracker, discardLogger())
 		if knowsEngines(m.Name) {
 			pool.SetEngines(model, tightestGap, engines(4))
 		}
@@ -73,11 +75,12 @@
 		c := NewClient(ClientOptions{
 			Members: memberView{n, m}, Caller: n, Pool: func(string) *Pool { return pool }, Cells: func(string) []string { return []string{"s"} },
 			Upstreams:    func(string) []Upstream { return engines(4) },
-			UpstreamGone: func(id string) bool { return n.gone[id] },
-			Random:       rand.New(rand.NewPCG(1, 1)), Log: discardLogger(),
+			UpstreamGone: func(id string) bool { return n.gone[id] }, Crashes: crashes,
+			Random: rand.New(rand.NewPCG(1, 1)), Log: discardLogger(),
 		})
 		mux := wire.NewMux()
 		c.Register(mux)
+		crashes.Register(mux)
 		n.muxes[m.Name] = mux
 		clients[m.Name] = c
 		g.Go("client", c.Run)
@@ -183,18 +186,19 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := group.New(t.Context())
+				content := crash.Content{Whole: 7}
 				req := longRequest(700_000)
-				req.ID, req.Service, req.Fingerprint = "r", "s", 7
+				req.ID, req.Service, req.Content = "r", "s", content
 				order := cells.Rank("7", []string{"s/0", "s/1"}, func(name string) string { return name })
 				pools := map[string]*Pool{}
 				for i, count := range []int{tc.first, tc.second} {
-					pool := NewPool("n", order[i], discardLogger())
+					pool := NewPool("n", order[i], crash.NewTracker(), discardLogger())
 					pool.SetEngines(model, tightestGap, engines(count))
 					g.Go("pool", pool.Run)
 					pools[order[i]] = pool
 				}
 				if tc.quarantined {
-					pools[order[0]].crashes[7] = crashRecord{crashLimit, time.Now()}
+					pools[order[0]].crashes.Ended(crash.Report{Engine: "e", Content: content, Suspects: []crash.Part{content.Whole}})
 				}
 				self := member.Member{Name: "n", PeerAddress: "n", State: member.Alive, Capacity: 1}
 				n := &fakeNodes{members: []member.Member{self}}
@@ -202,6 +206,7 @@
 					Members: memberView{n, self}, Caller: n, Pool: func(cell string) *Pool { return pools[cell] },
 					Cells:        func(string) []string { return []string{"s/0", "s/1"} },
 					Upstreams:    func(string) []Upstream { return engines(17) },
+					Crashes:      crash.NewRegistry(crash.Options{}),
 					UpstreamGone: func(string) bool { return false }, Random: rand.New(rand.NewPCG(1, 1)), Log: discardLogger(),
 				})
 				v, err := c.Acquire(t.Context(), req)
--- /dev/null
+++ b/internal/place/content.go
@@ -0,0 +1,117 @@
+package place
+
+import (
+	"context"
+	"time"
+
+	"github.com/verbenapier/verbenapier/internal/crash"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// trialPollInterval is how often a request that waits for the outcome of a trial
+// checks for it.
+const trialPollInterval = 20 * time.Millisecond
+
+// awaitTrial waits while another request of this node with the same suspected parts
+// has not begun to be answered, but no longer than the limit. It returns the suspected
+// parts of the request, or a refusal.
+func (c *Client) awaitTrial(ctx context.Context, content crash.Content, limit time.Duration) ([]crash.Part, *Refusal, error) {
+	for started := time.Now(); ; {
+		v := c.options.Crashes.Check(content)
+		if r := quarantineRefusal(v); r != nil {
+			return nil, r, nil
+		}
+		if len(v.Suspects) == 0 || !c.runsUnanswered(func(h *heldGrant) bool { return h.content.Intersects(v.Suspects) }) {
+			return v.Suspects, nil, nil
+		}
+		if time.Since(started) >= limit {
+			return nil, &Refusal{Reason: "a request with the same suspected content was not answered in time", RetryAfter: minBarTime}, nil
+		}
+		if !group.Sleep(ctx, trialPollInterval) {
+			return nil, nil, fault.Wrap(fault.KindOf(ctx.Err()), ctx.Err(), "waiting for the outcome of a trial")
+		}
+	}
+}
+
+// trialAt returns the suspects that are on trial at an upstream chosen by this node:
+// none if another of its requests at the upstream has not begun to be answered, since
+// either may then be the reason why the upstream ends.
+func (c *Client) trialAt(u Upstream, suspects []crash.Part) []crash.Part {
+	if c.runsUnanswered(func(h *heldGrant) bool { return h.Upstream.ID == u.ID }) {
+		return nil
+	}
+	return suspects
+}
+
+// runsUnanswered reports whether a request of this node whose grant matches has not
+// begun to be answered.
+func (c *Client) runsUnanswered(matches func(h *heldGrant) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.grants {
+		if !h.begun && matches(h) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordBegin records that a request began to be answered. The caller holds mu.
+func (c *Client) recordBegin(h *heldGrant) {
+	if !h.begun {
+		h.begun = true
+		c.options.Crashes.Began(h.content)
+	}
+}
+
+// recordEnd records what the end of a request shows of its content. It returns a
+// report if the upstream ended while it ran the request. The caller holds mu.
+func (c *Client) recordEnd(h *heldGrant, o Outcome, upstreamEnded bool) *crash.Report {
+	if upstreamEnded {
+		r := crash.Report{Engine: h.Upstream.Process(), Content: h.content, Begun: h.begun, Suspects: h.Suspects}
+		c.options.Crashes.Report(r)
+		return &r
+	}
+	if o == Completed && h.begun {
+		c.options.Crashes.Completed(h.content)
+	}
+	return nil
+}
+
+// AcquirePlain grants a server of a plain service to a request with the given ID and
+// content, which waits no longer than the limit. It asks no owner, since such calls
+// are short and servers refuse requests for which they have no room.
+func (c *Client) AcquirePlain(ctx context.Context, id, service string, content crash.Content, avoid []string, limit time.Duration) (Verdict, error) {
+	suspects, refusal, err := c.awaitTrial(ctx, content, limit)
+	if err != nil || refusal != nil {
+		return Verdict{Refusal: refusal}, err
+	}
+	u, ok := c.local.pick(c.options.Upstreams(service), avoid, c.options.Members.Self().FailureDomain)
+	if !ok {
+		return Verdict{Refusal: &Refusal{Reason: "the service has no upstream", RetryAfter: minBarTime / 2}}, nil
+	}
+	g := Grant{ID: id, Upstream: u, Suspects: c.trialAt(u, suspects)}
+	c.local.addRequest(u.ID)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.grants[id] = &heldGrant{Grant: g, content: content, obtainedAt: time.Now()}
+	return Verdict{Grant: &g}, nil
+}
+
+// ReleasePlain records how a call of a plain service ended. UpstreamEnded says that
+// the server ended while it ran the call.
+func (c *Client) ReleasePlain(g Grant, o Outcome, upstreamEnded bool) {
+	c.local.endRequest(g.Upstream.ID, o)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.grants[g.ID]
+	if h == nil {
+		return
+	}
+	delete(c.grants, g.ID)
+	if o == Completed && !upstreamEnded {
+		c.recordBegin(h)
+	}
+	c.recordEnd(h, o, upstreamEnded)
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -7,7 +7,10 @@
 package place
 
 import (
+	"strconv"
 	"time"
+
+	"github.com/verbenapier/verbenapier/internal/crash"
 )
 
 // Upstream is an engine or a server of a plain service.
@@ -26,6 +29,15 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// Process identifies the process behind a registration. A new process may keep the ID
+// of the registration, but not its start time.
+func (u Upstream) Process() string {
+	if u.Started.IsZero() {
+		return u.ID
+	}
+	return u.ID + "@" + strconv.FormatInt(u.Started.UnixMilli(), 10)
+}
+
 // Request asks the owner of a cell for engines that run a request.
 type Request struct {
 	// ID identifies one attempt by a node to have a request placed.
@@ -53,9 +65,8 @@
 	Priority int `json:"priority"`
 	// Avoid lists the IDs of upstreams that failed this request.
 	Avoid []string `json:"avoid,omitempty"`
-	// Fingerprint is the same for requests of one organisation with the same
-	// content, so that repeated requests are recognised.
-	Fingerprint uint64 `json:"fingerprint,omitempty"`
+	// Content identifies what the request asks an engine to run.
+	Content crash.Content `json:"content,omitzero"`
 }
 
 // Grant names the engines that run a request.
@@ -68,6 +79,9 @@
 	Helpers []Helper `json:"helpers,omitempty"`
 	// Expected is the estimated time to the first event.
 	Expected time.Duration `json:"expected_ns"`
+	// Suspects are the parts of the request's content that are on trial, if any. The
+	// end of the engine then counts against them.
+	Suspects []crash.Part `json:"suspects,omitempty"`
 	// WithoutOwner is set when the node chose the upstream itself, without an owner.
 	WithoutOwner bool `json:"alone,omitempty"`
 }
@@ -96,8 +110,7 @@
 type Refusal struct {
 	Reason     string        `json:"reason"`
 	RetryAfter time.Duration `json:"retry_after_ns"`
-	// Quarantined is set when the request is refused because it crashed several
-	// engines.
+	// Quarantined is set when the request is refused because its content ends engines.
 	Quarantined bool `json:"quarantined,omitempty"`
 }
 
@@ -133,8 +146,9 @@
 	ID      string  `json:"id"`
 	Outcome Outcome `json:"outcome"`
 	// Fault is the ID of the upstream at fault, if known.
-	Fault       string `json:"fault,omitempty"`
-	Fingerprint uint64 `json:"fingerprint,omitempty"`
+	Fault string `json:"fault,omitempty"`
+	// Crash is set if the engine ended while it ran the request.
+	Crash *crash.Report `json:"crash,omitempty"`
 	// Slowdown is the ratio of the time between events to the expected time; zero if
 	// unknown.
 	Slowdown float64 `json:"pace,omitempty"`
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -17,6 +17,8 @@
 	expected time.Duration
 	// loss is the value that running streams lose by the plan.
 	loss float64
+	// isolated is set if no other request begins on the main engine (see isolate).
+	isolated bool
 }
 
 // candidate is an engine that may take a request or a part of its prompt. Loss is
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/verbenapier/verbenapier/internal/cells"
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/route"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
@@ -36,14 +37,6 @@
 	// in the order of the queue. Prompts with the longest prefill, 30 s and more,
 	// therefore let others pass for half of their prefill time.
 	agingRate = 2.0
-	// crashLimit is the number of consecutive engine failures after which a
-	// request is refused, at first for quarantineBase. The request is then tried
-	// once more, and each further failure doubles the time of the refusal. A request
-	// that succeeds did not cause the failures, so its count starts again.
-	crashLimit     = 3
-	quarantineBase = 10 * time.Second
-	// crashRetention is how long the failures of a request are remembered.
-	crashRetention = 5 * time.Minute
 )
 
 // MaxEngines is the maximum number of engines in a cell. Scheduling 76 engines takes
@@ -69,8 +62,8 @@
 	// without a grant.
 	jobs    map[string]*job
 	waiting []*job
-	// crashes counts engine failures by the fingerprint of the request.
-	crashes map[uint64]crashRecord
+	// crashes says which requests may run.
+	crashes *crash.Tracker
 	// wake wakes Run.
 	wake chan struct{}
 	// loadUnknown is set while engines may run requests that this node does not
@@ -81,12 +74,6 @@
 	lastAcquire time.Time
 }
 
-// crashRecord counts the consecutive engine failures of a request.
-type crashRecord struct {
-	count int
-	last  time.Time
-}
-
 // job is a request that waits or runs, with what the owner knows of it.
 type job struct {
 	Request
@@ -115,6 +102,8 @@
 	mainMemory, helperMemory int
 	// hasFirstEvent is set once the node has reported the first event.
 	hasFirstEvent bool
+	// suspects are the suspected parts of the request's content (see crash.Verdict).
+	suspects []crash.Part
 	// lastReported is when the node last reported the request.
 	lastReported time.Time
 }
@@ -122,10 +111,10 @@
 func (j *job) goalLeft(now time.Time) time.Duration { return j.Goal - now.Sub(j.arrivedAt) }
 
 // NewPool returns a pool without engines. Owner is the name of its node.
-func NewPool(owner, cell string, log logrus.FieldLogger) *Pool {
+func NewPool(owner, cell string, crashes *crash.Tracker, log logrus.FieldLogger) *Pool {
 	return &Pool{
-		owner: owner, cell: cell, log: log, byID: map[string]*engine{}, jobs: map[string]*job{},
-		crashes: map[uint64]crashRecord{}, wake: make(chan struct{}, 1),
+		owner: owner, cell: cell, crashes: crashes, log: log, byID: map[string]*engine{}, jobs: map[string]*job{},
+		wake:        make(chan struct{}, 1),
 		loadUnknown: true, inspectNow: make(chan struct{}, 1),
 	}
 }
@@ -241,8 +230,8 @@
 		Request: req, arrivedAt: now, lastPolled: now, prefill: p.model.Prefill(req.PromptTokens),
 		value: promptValue(req.PromptTokens), decided: make(chan struct{}),
 	}
-	if left := p.quarantineLeft(req.Fingerprint, now); left > 0 {
-		p.refuse(j, Refusal{Reason: "the request crashed several engines", RetryAfter: left, Quarantined: true})
+	if r := quarantineRefusal(p.crashes.Check(req.Content)); r != nil {
+		p.refuse(j, *r)
 		return j
 	}
 	if r := p.infeasible(j, now); r != nil {
@@ -254,15 +243,13 @@
 	return j
 }
 
-// quarantineLeft returns how much longer a request is refused because it crashed
-// engines. It is not positive if the request is not refused. The caller holds mu.
-func (p *Pool) quarantineLeft(fingerprint uint64, now time.Time) time.Duration {
-	c := p.crashes[fingerprint]
-	if fingerprint == 0 || c.count < crashLimit {
-		return 0
+// quarantineRefusal returns the refusal of a request whose content is quarantined,
+// otherwise nil.
+func quarantineRefusal(v crash.Verdict) *Refusal {
+	if v.RefusedFor <= 0 {
+		return nil
 	}
-	term := min(crashRetention, quarantineBase<<min(c.count-crashLimit, 5))
-	return term - now.Sub(c.last)
+	return &Refusal{Reason: "the content of the request ends engines", RetryAfter: v.RefusedFor, Quarantined: true}
 }
 
 func (p *Pool) refuse(j *job, r Refusal) {
--- a/internal/place/pool_test.go
+++ b/internal/place/pool_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/route"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
@@ -50,7 +51,7 @@
 }
 
 func newPoolHarness(t *testing.T, engineCount int) *poolHarness {
-	pool := &poolHarness{Pool: NewPool("n", "s", discardLogger()), t: t, group: group.New(t.Context())}
+	pool := &poolHarness{Pool: NewPool("n", "s", crash.NewTracker(), discardLogger()), t: t, group: group.New(t.Context())}
 	pool.SetEngines(model, tightestGap, engines(engineCount))
 	pool.group.Go("pool", pool.Run)
 	return pool
@@ -309,31 +310,46 @@
 	})
 }
 
-// Guards against a request that crashes one engine after another, and against a
-// request that is left waiting although it can never be served in time.
-func TestRefusals(t *testing.T) {
+// Guards against a repeated request that ends one engine after another, and against
+// one that stays refused after it was answered.
+func TestRepeatedCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		pool := newPoolHarness(t, 8)
 		defer pool.stop()
 		req := shortRequest(2000)
-		req.Fingerprint = 7
-		for range crashLimit {
-			v := pool.acquire(req, time.Second)
-			require.NotNil(t, v.Grant)
-			pool.Report(Report{Cell: "s", Node: "n", Ended: []EndedRequest{{ID: v.Grant.ID, Outcome: EngineFailed, Fingerprint: 7}}})
+		req.Content = crash.Content{Whole: 7}
+		end := func(g *Grant) {
+			pool.Report(Report{Cell: "s", Node: "n", Ended: []EndedRequest{{
+				ID: g.ID, Outcome: EngineFailed, Crash: &crash.Report{Engine: g.Upstream.ID, Content: req.Content, Suspects: g.Suspects},
+			}}})
 		}
 		v := pool.acquire(req, time.Second)
+		require.Empty(t, v.Grant.Suspects)
+		end(v.Grant)
+		v = pool.acquire(req, time.Second)
+		require.NotEmpty(t, v.Grant.Suspects)
+		end(v.Grant)
+		v = pool.acquire(req, time.Second)
 		require.NotNil(t, v.Refusal)
 		require.True(t, v.Refusal.Quarantined)
-		time.Sleep(quarantineBase)
+		time.Sleep(v.Refusal.RetryAfter)
 		v = pool.acquire(req, time.Second)
-		require.NotNil(t, v.Grant, "it is tried once more")
-		pool.Report(Report{Cell: "s", Node: "n", Ended: []EndedRequest{{ID: v.Grant.ID, Outcome: Completed, Fingerprint: 7}}})
-		require.NotNil(t, pool.acquire(req, time.Second).Grant, "a success clears the failures")
+		require.NotEmpty(t, v.Grant.Suspects, "it is tried once more")
+		pool.Report(Report{Cell: "s", Node: "n", Running: []RunningRequest{{ID: v.Grant.ID, Upstream: v.Grant.Upstream.ID, HasFirstEvent: true}}})
+		pool.Report(Report{Cell: "s", Node: "n", Ended: []EndedRequest{{ID: v.Grant.ID, Outcome: Completed}}})
+		require.Empty(t, pool.acquire(req, time.Second).Grant.Suspects, "an answer clears it")
+	})
+}
 
+// Guards against a request that is left waiting although it can never be served in
+// time.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := newPoolHarness(t, 8)
+		defer pool.stop()
 		late := longRequest(182_000)
 		late.Remaining = 200 * time.Millisecond
-		v = pool.acquire(late, time.Second)
+		v := pool.acquire(late, time.Second)
 		require.NotNil(t, v.Refusal)
 		require.Positive(t, v.Refusal.RetryAfter)
 	})
@@ -423,7 +439,7 @@
 // requests before it still wait, when it would be refused again.
 func TestRetryAfterOfWaitingRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		pool := NewPool("n", "s", discardLogger())
+		pool := NewPool("n", "s", crash.NewTracker(), discardLogger())
 		pool.SetEngines(model, tightestGap, engines(1))
 		pool.mu.Lock()
 		defer pool.mu.Unlock()
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -23,11 +23,20 @@
 	// (true) and for short prompts.
 	misses := map[bool]int{}
 	for _, j := range slices.Clone(p.waiting) {
-		if r := p.outOfTime(j, now); r != nil {
+		verdict := p.crashes.Check(j.Content)
+		r := quarantineRefusal(verdict)
+		if r == nil {
+			r = p.outOfTime(j, now)
+		}
+		if r != nil {
 			p.remove(j)
 			p.refuse(j, *r)
 			continue
 		}
+		j.suspects = verdict.Suspects
+		if len(j.suspects) > 0 && p.runsUnanswered(j.suspects) {
+			continue
+		}
 		if misses[p.isLong(j)] >= maxDispatchMisses {
 			continue
 		}
@@ -75,6 +84,9 @@
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *job) bool { return w == j })
 	j.grantedAt = now
 	j.grant = &Grant{ID: j.ID, Cell: p.cell, Upstream: plan.main.Upstream, Expected: plan.expected}
+	if plan.isolated {
+		j.grant.Suspects = j.suspects
+	}
 	_, reserve := p.memoryNeed(j.PromptTokens, j.OutputTokens, 1+len(plan.helpers))
 	for _, h := range plan.helpers {
 		j.grant.Helpers = append(j.grant.Helpers, Helper{ID: h.ID, Address: h.Address, Reserve: reserve})
@@ -85,7 +97,7 @@
 		"event": "granted", "cell": p.cell, "request": j.ID, "upstream": plan.main.ID,
 		"helpers": len(plan.helpers), "waited_ms": now.Sub(j.arrivedAt).Milliseconds(),
 		"expected_ms": plan.expected.Milliseconds(), "goal_ms": j.goalLeft(now).Milliseconds(),
-		"disturbed": plan.loss, "running": len(p.jobs) - len(p.waiting), "waiting": len(p.waiting),
+		"disturbed": plan.loss, "trial": j.grant.Suspects, "running": len(p.jobs) - len(p.waiting), "waiting": len(p.waiting),
 	}).Info("a request was placed")
 }
 
--- a/internal/place/report.go
+++ b/internal/place/report.go
@@ -102,6 +102,7 @@
 func (p *Pool) recordFirstEvent(j *job, now time.Time) {
 	j.hasFirstEvent = true
 	j.main.recordSuccess()
+	p.crashes.Began(j.Content)
 	for _, e := range j.engines() {
 		e.prefillEnd = p.estimatePrefillEnd(e, now)
 	}
@@ -127,29 +128,24 @@
 	return now.Add(min(left-min(left, elapsed), max(0, e.prefillEnd.Sub(now))))
 }
 
-// applyEnded removes a request that ended and records its outcome for its engine. It
-// also counts engine failures by the fingerprint of the request. The caller holds
-// mu.
+// applyEnded removes a request that ended and records its outcome for its engine and
+// for its content. The content comes first, as the removal lets other requests with
+// the same suspected parts run. The caller holds mu.
 func (p *Pool) applyEnded(ended EndedRequest, now time.Time) {
-	j := p.jobs[ended.ID]
-	if j != nil && j.main != nil {
-		p.recordOutcome(j, ended, now)
-	}
-	if j != nil {
-		p.remove(j)
+	if ended.Crash != nil {
+		p.crashes.Ended(*ended.Crash)
 	}
-	if ended.Outcome == Completed {
-		delete(p.crashes, ended.Fingerprint)
+	j := p.jobs[ended.ID]
+	if j == nil {
+		return
 	}
-	if ended.Outcome == EngineFailed && ended.Fingerprint != 0 {
-		c := p.crashes[ended.Fingerprint]
-		p.crashes[ended.Fingerprint] = crashRecord{c.count + 1, now}
-		for f, c := range p.crashes {
-			if now.Sub(c.last) > crashRetention {
-				delete(p.crashes, f)
-			}
+	if j.main != nil {
+		p.recordOutcome(j, ended, now)
+		if ended.Outcome == Completed && j.hasFirstEvent {
+			p.crashes.Completed(j.Content)
 		}
 	}
+	p.remove(j)
 }
 
 // recordOutcome updates the failures and the slowdown of the engine that ran a
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -10,9 +10,9 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/route"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
@@ -31,9 +31,9 @@
 	service      string
 	organisation route.Organisation
 	body         []byte
-	// requestHash is the result of fingerprint, or zero before its first call.
-	requestHash uint64
-	deadline    time.Time
+	// contentKey is the result of content, or zero before its first call.
+	contentKey crash.Content
+	deadline   time.Time
 
 	// attempts is how often the request was sent to an upstream. Upstreams that could
 	// not be reached are not counted.
@@ -148,18 +148,18 @@
 	return c.route.Priority
 }
 
-// fingerprint returns a hash of the organisation, host, request URI and body,
-// by which a repeated request is recognised. It is never zero.
-func (c *call) fingerprint() uint64 {
-	if c.requestHash != 0 {
-		return c.requestHash
+// content identifies what the request asks an upstream to run: the organisation, host,
+// request URI and body together, and each part of the prompt that other requests may
+// share. Parts are not told apart by organisation, as content that ends an engine
+// ends it for all.
+func (c *call) content() crash.Content {
+	if c.contentKey.Whole == 0 {
+		c.contentKey.Whole = crash.NewPart(c.organisation.Name, c.r.Host, c.r.RequestURI, string(c.body))
+		for _, id := range c.meta.SharedParts {
+			c.contentKey.Shared = append(c.contentKey.Shared, crash.NewPart(c.service, id))
+		}
 	}
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(c.organisation.Name + "\x00" + c.r.Host + "\x00" + c.r.RequestURI + "\x00")
-	_, _ = d.Write(c.body)
-	c.requestHash = max(1, d.Sum64())
-	return c.requestHash
+	return c.contentKey
 }
 
 // contextError returns the error for a request whose context ended: the caller
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/place"
 	"github.com/verbenapier/verbenapier/internal/retry"
@@ -73,14 +74,24 @@
 	return place.Verdict{Refusal: &place.Refusal{Reason: "no upstream left"}}, nil
 }
 
-func (p *orderedPlacer) ReportFirstEvent(place.Grant)                {}
-func (p *orderedPlacer) ReportEnded(place.Grant, place.EndedRequest) {}
+func (p *orderedPlacer) ReportFirstEvent(place.Grant)                      {}
+func (p *orderedPlacer) ReportEnded(place.Grant, place.EndedRequest, bool) {}
 
-func (p *orderedPlacer) AcquirePlain(_ string, avoid []string) (place.Upstream, bool) {
-	return p.next(avoid)
+func (p *orderedPlacer) AcquirePlain(_ context.Context, id, _ string, _ crash.Content, avoid []string, _ time.Duration) (place.Verdict, error) {
+	if u, ok := p.next(avoid); ok {
+		return place.Verdict{Grant: &place.Grant{ID: id, Upstream: u}}, nil
+	}
+	return place.Verdict{Refusal: &place.Refusal{Reason: "no upstream left"}}, nil
 }
 
-func (p *orderedPlacer) ReleasePlain(place.Upstream, place.Outcome) {}
+func (p *orderedPlacer) ReleasePlain(place.Grant, place.Outcome, bool) {}
+
+// aliveReserver answers that every upstream runs.
+type aliveReserver struct{}
+
+func (aliveReserver) Reserve(context.Context, place.Helper, int, time.Duration) error { return nil }
+func (aliveReserver) Release(context.Context, place.Helper) error                     { return nil }
+func (aliveReserver) Alive(context.Context, place.Upstream) error                     { return nil }
 
 // gateway is a Server on a real socket with stand-ins for its upstreams.
 type gateway struct {
@@ -107,7 +118,7 @@
 	log := logrus.New()
 	log.SetOutput(g)
 	server := New(Options{
-		Codec: headerCodec{}, Placer: g.placer, Group: g.group, Table: func() *route.Table { return table },
+		Codec: headerCodec{}, Placer: g.placer, Reserver: aliveReserver{}, Group: g.group, Table: func() *route.Table { return table },
 		ConfigAge: func() time.Duration { return 0 }, UpstreamID: func(string) string { return "" },
 		Budget: retry.New(1, 100, time.Minute, func() int { return 1 }),
 		Dial:   dialer.TCP, Random: rand.New(rand.NewPCG(1, 1)), Log: log,
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -50,13 +50,16 @@
 	var failedResponse *bufferedResponse
 	defer func() { failedResponse.close() }()
 	for connects := 0; connects < maxConnects && ctx.Err() == nil; {
-		u, ok := c.server.options.Placer.AcquirePlain(c.service, c.avoid)
-		if !ok {
-			lastErr = refuse(fault.Unreachable, busyRetryAfter, "the service has no upstream")
+		v, err := c.server.options.Placer.AcquirePlain(ctx, c.placementID(), c.service, c.content(), c.avoid, time.Until(c.deadline))
+		if err != nil {
+			return c.finalError(ctx, err)
+		}
+		if v.Refusal != nil {
+			lastErr = refuse(fault.Unreachable, v.Refusal.RetryAfter, "%s", v.Refusal.Reason)
 			break
 		}
-		b, err := c.attemptPlain(ctx, u)
-		c.avoid = append(c.avoid, u.ID)
+		b, err := c.attemptPlain(ctx, *v.Grant)
+		c.avoid = append(c.avoid, v.Grant.Upstream.ID)
 		if err == nil && (b.status < http.StatusInternalServerError || !c.route.Repeatable()) {
 			defer b.close()
 			return c.writeResponse(b)
@@ -101,9 +104,12 @@
 // attemptPlain sends the request to one upstream and reads the response. An
 // error of kind UpstreamRefused or Unreachable means that this upstream did not
 // run the request.
-func (c *call) attemptPlain(ctx context.Context, u place.Upstream) (b *bufferedResponse, err error) {
-	outcome := place.EngineFailed
-	defer func() { c.server.options.Placer.ReleasePlain(u, outcome) }()
+func (c *call) attemptPlain(ctx context.Context, g place.Grant) (b *bufferedResponse, err error) {
+	u, outcome := g.Upstream, place.EngineFailed
+	defer func(ctx context.Context) {
+		ended := outcome == place.EngineFailed && ctx.Err() == nil && c.upstreamEnded(ctx, u, err)
+		c.server.options.Placer.ReleasePlain(g, outcome, ended)
+	}(ctx)
 	ctx, cancel := context.WithCancelCause(ctx)
 	var options ForwardOptions
 	if c.route.Idempotent && c.attempts+1 < c.route.Attempts {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/place"
 	"github.com/verbenapier/verbenapier/internal/retry"
@@ -135,13 +136,15 @@
 	Current(g place.Grant) bool
 	// ReportFirstEvent reports the first event of a granted request.
 	ReportFirstEvent(g place.Grant)
-	// ReportEnded reports the end of a granted request.
-	ReportEnded(g place.Grant, e place.EndedRequest)
-	// AcquirePlain picks an upstream of a plain service, or returns false if
-	// there is none.
-	AcquirePlain(service string, avoid []string) (place.Upstream, bool)
-	// ReleasePlain reports the end of a request to an upstream of a plain service.
-	ReleasePlain(u place.Upstream, o place.Outcome)
+	// ReportEnded reports the end of a granted request, and whether its engine ended
+	// while it ran the request.
+	ReportEnded(g place.Grant, e place.EndedRequest, upstreamEnded bool)
+	// AcquirePlain grants an upstream of a plain service to a request with the given
+	// ID, or refuses it. It waits no longer than the limit.
+	AcquirePlain(ctx context.Context, id, service string, content crash.Content, avoid []string, limit time.Duration) (place.Verdict, error)
+	// ReleasePlain reports the end of a request to a plain service, and whether the
+	// upstream ended while it ran the request.
+	ReleasePlain(g place.Grant, o place.Outcome, upstreamEnded bool)
 }
 
 // Reserver reserves memory on engines. Each call ends with its context. A call
@@ -151,7 +154,7 @@
 	Reserve(ctx context.Context, u place.Helper, tokens int, hold time.Duration) error
 	// Release ends a reservation.
 	Release(ctx context.Context, u place.Helper) error
-	// Alive returns an error when an engine does not answer.
+	// Alive returns an error when an upstream does not answer at all.
 	Alive(ctx context.Context, u place.Upstream) error
 }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -16,6 +17,10 @@
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
+// endCheckTimeout bounds the check of whether an upstream ended. It is several times
+// the latency between failure domains.
+const endCheckTimeout = 300 * time.Millisecond
+
 // send sends the request to an upstream and returns the response. An error of
 // kind Unreachable means that nothing was sent; after any other error the
 // upstream may have run the request.
@@ -52,16 +57,16 @@
 	return nil, fault.Wrap(fault.UpstreamLost, err, "upstream %s did not answer", u.ID)
 }
 
-// connectionEnded reports whether an attempt failed because the upstream ended the
-// connection, and not because of a time limit, the caller or the content of the
-// answer.
-func connectionEnded(err error) bool {
-	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
-		if errors.Is(err, end) {
-			return true
-		}
+// upstreamEnded reports whether an attempt failed because the process of the upstream
+// ended: the connection ended, not by a time limit or the caller, and the upstream
+// does not answer other calls. An upstream that lost only this connection does.
+func (c *call) upstreamEnded(ctx context.Context, u place.Upstream, err error) bool {
+	if !slices.ContainsFunc([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}, func(end error) bool { return errors.Is(err, end) }) {
+		return false
 	}
-	return false
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	return c.server.options.Reserver.Alive(ctx, u) != nil && context.Cause(c.r.Context()) == nil
 }
 
 // promisesNotRun reports whether callers take a status as a promise that the
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -131,16 +131,20 @@
 		// events apply, counted from the last event.
 		goal, abandon = max(0, c.route.GapGoal-now.Sub(st.lastEventAt)), c.abandonTimeout()-now.Sub(st.lastEventAt)
 	}
-	c.placementRequests++
 	return place.Request{
-		ID:      c.meta.ID + "/" + strconv.Itoa(c.placementRequests),
-		Service: c.service, Organisation: c.organisation.Name,
+		ID: c.placementID(), Service: c.service, Organisation: c.organisation.Name,
 		PromptTokens: c.meta.PromptTokens + c.deliveredTokens(), OutputTokens: max(1, c.meta.OutputTokens-c.deliveredTokens()),
 		Goal: goal, MaxGap: c.route.GapGoal, AbandonTimeout: abandon, Remaining: c.deadline.Sub(now),
-		Priority: c.priority(), Avoid: c.avoid, Fingerprint: c.fingerprint(),
+		Priority: c.priority(), Avoid: c.avoid, Content: c.content(),
 	}
 }
 
+// placementID returns a new ID under which the request is placed.
+func (c *call) placementID() string {
+	c.placementRequests++
+	return c.meta.ID + "/" + strconv.Itoa(c.placementRequests)
+}
+
 // failoverRequest builds the request that asks the scheduler for another engine. The
 // request is sent to the scheduler once the engine of the grant has been silent for
 // the given time.
@@ -154,7 +158,7 @@
 // Completed, so that nothing counts against the engine.
 func (c *call) returnGrant(g *place.Grant) {
 	if g != nil {
-		c.server.options.Placer.ReportEnded(*g, place.EndedRequest{Outcome: place.Completed})
+		c.server.options.Placer.ReportEnded(*g, place.EndedRequest{Outcome: place.Completed}, false)
 	}
 }
 
@@ -175,21 +179,23 @@
 	helpers  []place.Helper
 	failover *failover
 	ended    place.EndedRequest
-	// begun is set once the engine has sent a numbered event.
-	begun bool
+	// begun is set once the engine has sent a numbered event, and upstreamEnded if it
+	// ended while it ran the request.
+	begun         bool
+	upstreamEnded bool
 }
 
 // attemptEngine sends the request to an engine and forwards the events. If the
 // attempt ended because the engine was silent and another engine was granted, it
 // returns the grant for the next attempt.
 func (c *call) attemptEngine(ctx context.Context, number int, g place.Grant, st *stream) (next *place.Grant, err error) {
-	a := &attempt{number: number, grant: g, ended: place.EndedRequest{Outcome: place.EngineFailed, Fingerprint: c.fingerprint()}}
-	defer func() { c.server.options.Placer.ReportEnded(a.grant, a.ended) }()
+	a := &attempt{number: number, grant: g, ended: place.EndedRequest{Outcome: place.EngineFailed}}
+	defer func() { c.server.options.Placer.ReportEnded(a.grant, a.ended, a.upstreamEnded) }()
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	helpers, memory, err := c.reserve(ctx, number, g, func() { cancel(errUnresponsive) })
 	if err != nil {
-		a.ended.Outcome, a.ended.Fingerprint = place.Rejected, 0
+		a.ended.Outcome = place.Rejected
 		return nil, err
 	}
 	defer memory.release()
@@ -213,7 +219,7 @@
 	c.upstream = u.ID
 	if !c.server.options.Placer.Current(a.grant) {
 		// This process was paused since the grant, or the engine left.
-		a.ended.Outcome, a.ended.Fingerprint = place.Completed, 0
+		a.ended.Outcome = place.Completed
 		c.logDecision("grant_expired", "a grant expired before the request was sent", logrus.Fields{"upstream": u.ID})
 		return fault.New(fault.Unreachable, "the grant of engine %s expired", u.ID)
 	}
@@ -225,7 +231,6 @@
 	})
 	resp, err := c.send(ctx, u, ForwardOptions{Helpers: a.helpers, After: st.lastID, HasAfter: st.hasLastID && c.headerSent})
 	if fault.Is(err, fault.Unreachable) {
-		a.ended.Fingerprint = 0
 		return err
 	}
 	c.attempts++
@@ -257,7 +262,7 @@
 // did not run it. If the verdict names a failed upstream that kept the engine from
 // running the request, the failure counts against that upstream.
 func (c *call) recordRejection(a *attempt, resp *http.Response, v ResponseVerdict) error {
-	a.ended.Outcome, a.ended.Fingerprint = place.Rejected, 0
+	a.ended.Outcome = place.Rejected
 	if v.FailedUpstream != "" {
 		a.ended.Fault = c.server.options.UpstreamID(v.FailedUpstream)
 		a.ended.Outcome = place.EngineFailed
@@ -296,15 +301,16 @@
 // outcome is Completed, so that nothing counts against the engine.
 func (c *call) recordLoss(ctx context.Context, a *attempt, err error) error {
 	if ctx.Err() != nil || fault.Is(err, fault.Canceled) {
-		a.ended.Outcome, a.ended.Fingerprint = place.Completed, 0
+		a.ended.Outcome = place.Completed
 		if fault.Is(err, fault.Canceled) {
 			return err
 		}
 		return c.contextError(ctx)
 	}
+	a.upstreamEnded = c.upstreamEnded(ctx, a.grant.Upstream, err)
 	c.logDecision("broken", "an attempt on an engine failed before the answer was complete", logrus.Fields{
 		"upstream": a.grant.Upstream.ID, "events": c.events, "error": err.Error(), "resumable": c.route.Resumable,
-		"begun": a.begun, "upstream_ended": connectionEnded(err), "parts": c.meta.SharedParts,
+		"begun": a.begun, "upstream_ended": a.upstreamEnded, "parts": c.meta.SharedParts,
 	})
 	return err
 }
