relay: a stream without a length that ends before its first event is broken off

What callers saw: when the engine of a stream that has neither a length nor chunks ends before the first event, the caller gets an empty answer with status 200 that looks complete; ends inside an event are passed on as failures but not counted as the end of an engine. Cause: the end of the connection is the end of such a body, and the relay accepted any end between two events. Change: such a stream counts as broken off before its first event, and both ends count as ends of the connection for the guard against crashing content.

--- a/internal/relay/answers_test.go
+++ b/internal/relay/answers_test.go
@@ -65,6 +65,38 @@
 	}
 }
 
+// Guards against a stream without a length that looks complete although its engine
+// ended, and against such an end that is not recognised as that of an engine.
+func TestStreamEndsWithConnection(t *testing.T) {
+	whole := eventText(1) + eventText(2) + eventText(3)
+	cases := map[string]struct {
+		first string
+		// second is the number of the first event of the second engine.
+		second int
+		ended  []string
+	}{
+		"whole":                     {whole, 0, nil},
+		"before the first event":    {"", 1, []string{"e1"}},
+		"inside the first event":    {"id: 1\nda", 1, []string{"e1"}},
+		"inside a later event":      {eventText(1) + "id: 2\nda", 2, []string{"e1"}},
+		"after a comment, no event": {": hello\n\n", 1, []string{"e1"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway(t)
+			g.engines.dead = "e1"
+			g.addUpstream("e1", func(c net.Conn) { write(c, streamHead+tc.first) })
+			g.addUpstream("e2", wholeStream(tc.second))
+			_, body, err := g.get("/stream/x")
+			require.NoError(t, err)
+			require.Equal(t, whole, strings.TrimPrefix(body, ": hello\n\n"))
+			g.placer.mu.Lock()
+			defer g.placer.mu.Unlock()
+			require.Equal(t, tc.ended, g.placer.ended)
+		})
+	}
+}
+
 // Guards against a sound stream that is cut because its bytes come one at a time, or
 // because its events come shortly before the stream would count as stalled.
 func TestSlowStream(t *testing.T) {
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -50,6 +51,9 @@
 	panics    bool
 	// expired names an upstream whose grants are no longer current.
 	expired string
+	// ended holds the upstreams that were reported to have ended.
+	mu    sync.Mutex
+	ended []string
 }
 
 func (p *orderedPlacer) Current(g place.Grant) bool { return g.Upstream.ID != p.expired }
@@ -74,8 +78,15 @@
 	return place.Verdict{Refusal: &place.Refusal{Reason: "no upstream left"}}, nil
 }
 
-func (p *orderedPlacer) ReportFirstEvent(place.Grant)                      {}
-func (p *orderedPlacer) ReportEnded(place.Grant, place.EndedRequest, bool) {}
+func (p *orderedPlacer) ReportFirstEvent(place.Grant) {}
+
+func (p *orderedPlacer) ReportEnded(g place.Grant, _ place.EndedRequest, upstreamEnded bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if upstreamEnded {
+		p.ended = append(p.ended, g.Upstream.ID)
+	}
+}
 
 func (p *orderedPlacer) AcquirePlain(_ context.Context, id, _ string, _ crash.Content, avoid []string, _ time.Duration) (place.Verdict, error) {
 	if u, ok := p.next(avoid); ok {
@@ -86,19 +97,27 @@
 
 func (p *orderedPlacer) ReleasePlain(place.Grant, place.Outcome, bool) {}
 
-// aliveReserver answers that every upstream runs.
-type aliveReserver struct{}
+// fakeReserver answers that all upstreams run, except the one with the ID dead.
+type fakeReserver struct{ dead string }
 
-func (aliveReserver) Reserve(context.Context, place.Helper, int, time.Duration) error { return nil }
-func (aliveReserver) Release(context.Context, place.Helper) error                     { return nil }
-func (aliveReserver) Alive(context.Context, place.Upstream) error                     { return nil }
+func (*fakeReserver) Reserve(context.Context, place.Helper, int, time.Duration) error { return nil }
+func (*fakeReserver) Release(context.Context, place.Helper) error                     { return nil }
+
+func (r *fakeReserver) Alive(_ context.Context, u place.Upstream) error {
+	if u.ID == r.dead {
+		return errors.New("connection refused")
+	}
+	return nil
+}
 
 // gateway is a Server on a real socket with stand-ins for its upstreams.
 type gateway struct {
 	t      *testing.T
 	group  *group.Group
 	placer *orderedPlacer
-	url    string
+	// engines says which upstreams run.
+	engines *fakeReserver
+	url     string
 
 	mu  sync.Mutex
 	log bytes.Buffer
@@ -107,7 +126,7 @@
 // newGateway starts a gateway with the routes /stream/ and /plain/, both of which
 // may be repeated.
 func newGateway(t *testing.T) *gateway {
-	g := &gateway{t: t, group: group.New(t.Context()), placer: &orderedPlacer{}}
+	g := &gateway{t: t, group: group.New(t.Context()), placer: &orderedPlacer{}, engines: &fakeReserver{}}
 	table := route.NewTable(&route.Config{
 		Routes: []route.Route{
 			{Host: "h", Prefix: "/stream/", Stream: true, Resumable: true, Timeout: 20 * time.Second, Attempts: 3, GapGoal: 100 * time.Millisecond, Shares: []route.Share{{Service: "model", Weight: 1}}},
@@ -118,7 +137,7 @@
 	log := logrus.New()
 	log.SetOutput(g)
 	server := New(Options{
-		Codec: headerCodec{}, Placer: g.placer, Reserver: aliveReserver{}, Group: g.group, Table: func() *route.Table { return table },
+		Codec: headerCodec{}, Placer: g.placer, Reserver: g.engines, Group: g.group, Table: func() *route.Table { return table },
 		ConfigAge: func() time.Duration { return 0 }, UpstreamID: func(string) string { return "" },
 		Budget: retry.New(1, 100, time.Minute, func() int { return 1 }),
 		Dial:   dialer.TCP, Random: rand.New(rand.NewPCG(1, 1)), Log: log,
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -376,7 +376,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return c.finishStream(resp, &splitter)
+			return c.finishStream(resp, a, &splitter)
 		}
 		if err != nil {
 			if cause := context.Cause(ctx); cause != nil {
@@ -464,11 +464,16 @@
 	c.w.WriteHeader(resp.StatusCode)
 }
 
-// finishStream accepts the end of a stream, unless the stream ended in the
-// middle of an event.
-func (c *call) finishStream(resp *http.Response, splitter *event.Splitter) error {
-	if splitter.Partial() > 0 {
-		return fault.New(fault.UpstreamLost, "the stream ended in the middle of an event")
+// finishStream accepts the end of a stream, unless the stream ended in the middle of an
+// event. A stream without a length that ends with its connection before it began looks
+// the same when its engine ends, so it counts as broken off too.
+func (c *call) finishStream(resp *http.Response, a *attempt, splitter *event.Splitter) error {
+	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	switch {
+	case splitter.Partial() > 0:
+		return fault.Wrap(fault.UpstreamLost, io.ErrUnexpectedEOF, "the stream ended in the middle of an event")
+	case endsWithConnection && !a.begun:
+		return fault.Wrap(fault.UpstreamLost, io.ErrUnexpectedEOF, "the stream ended before its first event")
 	}
 	c.sendHeader(resp)
 	return nil
