--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -114,6 +114,10 @@
 	Signed bool
 	// ID identifies the attempt that the response belongs to.
 	ID string
+	// RateLimit is the number of requests per second that the upstream takes from all
+	// hosts together, if HasRateLimit is set. Otherwise the upstream names no limit.
+	RateLimit    float64
+	HasRateLimit bool
 	// FailedUpstream is the address of the upstream that caused a failure, or empty.
 	FailedUpstream string
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/place"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -69,6 +71,17 @@
 	return c.server.options.Reserver.Alive(ctx, u) != nil && context.Cause(c.r.Context()) == nil
 }
 
+// readVerdict reads the verdict from the response of an upstream.
+func (c *call) readVerdict(resp *http.Response, u place.Upstream) ResponseVerdict {
+	v := c.server.options.Codec.ReadVerdict(resp)
+	if v.HasRateLimit {
+		c.logDecision("limit_named", "an upstream limits the requests per second that it takes", logrus.Fields{
+			"upstream": u.ID, "per_second": v.RateLimit,
+		})
+	}
+	return v
+}
+
 // promisesNotRun reports whether callers take a status as a promise that the
 // request was not run.
 func promisesNotRun(status int) bool {
