crash: a refutation holds for one decision, and streams that had begun are not reported to all

Cause: a host that refuted a quarantine would also withdraw a later decision on the same parts, for an hour; and each end of an engine was sent to all hosts once for every stream that it ran, although only requests that had not begun are evidence for their shared parts. Change: refutations name the decision; streams that had begun are reported to the owner only. Result: a case of TestTracker that failed before.

--- a/internal/crash/registry.go
+++ b/internal/crash/registry.go
@@ -82,15 +82,19 @@
 // Register adds the handler of the reports of other hosts.
 func (r *Registry) Register(m *wire.Mux) {
 	m.Handle(MethodReport, wire.Typed(func(_ context.Context, _ string, report Report) (struct{}, error) {
-		r.record(report, takeoverDelay)
+		r.apply(report, takeoverDelay)
 		return struct{}{}, nil
 	}))
 }
 
 // Report records the end of an engine that this host observed, and reports it to the
-// other hosts without waiting for them.
+// other hosts without waiting for them. They need not know of requests that had begun
+// to be answered, unless these were on trial.
 func (r *Registry) Report(report Report) {
-	r.record(report, 0)
+	r.apply(report, 0)
+	if report.Begun && len(report.Suspects) == 0 {
+		return
+	}
 	self := r.options.Members.Self().Name
 	for _, m := range r.options.Members.Members() {
 		if m.Name == self || m.State == member.Dead {
@@ -109,9 +113,9 @@
 	}
 }
 
-// record applies a report. A quarantine that follows from it is published after the
+// apply records a report. A quarantine that follows from it is published after the
 // delay, unless another host does so before.
-func (r *Registry) record(report Report, delay time.Duration) {
+func (r *Registry) apply(report Report, delay time.Duration) {
 	q, decided := r.Ended(report)
 	fields := logrus.Fields{
 		"event": "engine_ended", "engine": report.Engine, "request_part": report.Content.Whole, "parts": report.Content.Shared,
--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -59,9 +59,14 @@
 	records *simplelru.LRU[Part, *record]
 	// quarantines are by Key. Those that ended are kept for maxQuarantine.
 	quarantines map[string]Quarantine
-	// refuted holds the keys of quarantines whose parts turned out to be sound, and
-	// when.
-	refuted map[string]time.Time
+	// refuted holds the quarantines with parts that turned out to be sound, by key.
+	refuted map[string]refutation
+}
+
+// refutation is a quarantine, decided when an engine ended, that was refuted.
+type refutation struct {
+	engine string
+	at     time.Time
 }
 
 // NewTracker returns a tracker that suspects nothing.
@@ -70,7 +75,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Tracker{records: records, quarantines: map[string]Quarantine{}, refuted: map[string]time.Time{}}
+	return &Tracker{records: records, quarantines: map[string]Quarantine{}, refuted: map[string]refutation{}}
 }
 
 // Check returns how a request may run.
@@ -166,8 +171,8 @@
 			delete(t.quarantines, key)
 		}
 	}
-	for key, at := range t.refuted {
-		if now.Sub(at) > maxQuarantine {
+	for key, r := range t.refuted {
+		if now.Sub(r.at) > maxQuarantine {
 			delete(t.refuted, key)
 		}
 	}
@@ -205,21 +210,23 @@
 			continue
 		}
 		delete(t.quarantines, key)
-		t.refuted[key] = time.Now()
+		t.refuted[key] = refutation{q.Engine, time.Now()}
 		if q.Parts = left; len(left) > 0 {
 			t.quarantines[q.Key()] = q
 		}
 	}
 }
 
-// Adopt adds a quarantine that another host decided, unless it was refuted here.
+// Adopt adds a quarantine that another host decided, unless that decision was refuted
+// here.
 func (t *Tracker) Adopt(q Quarantine) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := q.Key()
-	if _, ok := t.refuted[key]; ok || len(q.Parts) == 0 || !q.Until.After(t.quarantines[key].Until) {
+	if r, ok := t.refuted[key]; ok && r.engine == q.Engine || len(q.Parts) == 0 || !q.Until.After(t.quarantines[key].Until) {
 		return
 	}
+	delete(t.refuted, key)
 	t.quarantines[key] = q
 	// After the quarantine, its parts are on trial.
 	for _, p := range q.Parts {
--- a/internal/crash/tracker_test.go
+++ b/internal/crash/tracker_test.go
@@ -119,6 +119,15 @@
 			t.Completed(other)
 			t.Adopt(q[0])
 		}, other, nil, false},
+		"decided again after it was refuted": {func(t *Tracker) {
+			end(t, "e1", other)
+			end(t, "e2", other)
+			q, _ := t.Quarantines()
+			t.Began(other)
+			t.Completed(other)
+			q[0].Engine = "e3"
+			t.Adopt(q[0])
+		}, other, []Part{1, 102}, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
