entry: beginnings of prompts that crash engines are refused

What callers saw: prompts that all differ and share a beginning crash one engine after another behind verbenapierd too; each is new to the quarantine, which knows whole prompts. Cause: the same class of fault as in the gateway: a limit on harm that is keyed by the single request. Change: the hashes of a prompt's beginnings (4 KiB, 8 KiB and so on) are shared parts for the guard of the gateway, internal/crash. Prompts with a suspected beginning run one at a time on a node and alone on their engine. Hosts ask a peer for its quarantines every 2 s, so hosts that start or were cut off learn them.

--- a/emul/system/system_test.go
+++ b/emul/system/system_test.go
@@ -161,25 +161,35 @@
 }
 
 // Guards against prompts that all differ, have a beginning in common and crash one
-// engine after another, and against failures of the other prompts on these engines.
+// engine after another, also when nodes restart, and against failures of the other
+// prompts on these engines.
 func TestCrashingPrefix(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := deploy(t)
-		defer d.close()
-		prefix := strings.Repeat("a long document ", 300) + crashMarker
-		prefix += strings.Repeat(" that goes on", 1000)
-		codes := map[string]int{}
-		report := d.runLoadWithFaults(func(d *deployment) {
-			for i := range 9 {
-				codes[d.sendOne(i%nodeCount, fmt.Sprintf("%s question %d", prefix, i))]++
-				time.Sleep(time.Second)
-			}
+	const learnTime = 3 * time.Second
+	for name, restarts := range map[string]bool{"undisturbed": false, "each node restarts": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := deploy(t)
+				defer d.close()
+				prefix := strings.Repeat("a long document ", 300) + crashMarker
+				codes := map[string]int{}
+				report := d.runLoadWithFaults(func(d *deployment) {
+					for i := range 9 {
+						codes[d.sendOne(i%nodeCount, fmt.Sprintf("%s question %d", prefix+strings.Repeat(" that goes on", 1000), i))]++
+						if node := i - 3; restarts && node >= 0 && node < nodeCount {
+							d.killNode(node)
+							d.startNode(node)
+							time.Sleep(learnTime)
+						}
+						time.Sleep(time.Second)
+					}
+				})
+				d.checkReport(report)
+				t.Logf("answers to the crashing prompts: %v, crashes %d", codes, d.crashes)
+				require.LessOrEqual(t, d.crashes, 2)
+				require.Positive(t, codes["quarantined"])
+			})
 		})
-		d.checkReport(report)
-		t.Logf("answers to the crashing prompts: %v, crashes %d", codes, d.crashes)
-		require.LessOrEqual(t, d.crashes, 2)
-		require.Positive(t, codes["quarantined"])
-	})
+	}
 }
 
 // injectFaults repeatedly injects one or two random faults and repairs them, until
--- a/internal/crash/registry.go
+++ b/internal/crash/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,8 +14,12 @@
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
-// MethodReport is the peer call that reports the end of an engine.
-const MethodReport = "crash.report"
+// The peer calls: MethodReport reports the end of an engine, and MethodList returns the
+// quarantines in force.
+const (
+	MethodReport = "crash.report"
+	MethodList   = "crash.list"
+)
 
 const (
 	// reportTimeout bounds the report to one peer.
@@ -26,6 +31,9 @@
 	// takeoverDelay is how long the host that decided a quarantine has to publish it
 	// before the others do.
 	takeoverDelay = 2 * time.Second
+	// exchangeInterval is how often a host without a store asks a peer for its
+	// quarantines.
+	exchangeInterval = 2 * time.Second
 )
 
 // Members is the part of the cluster membership that the registry uses.
@@ -47,6 +55,7 @@
 type Options struct {
 	Members Members
 	Caller  wire.Caller
+	// Store is nil if hosts learn quarantines from their peers only.
 	Store   Store
 	Group   *group.Group
 	Log     logrus.FieldLogger
@@ -85,6 +94,10 @@
 		r.apply(report, takeoverDelay)
 		return struct{}{}, nil
 	}))
+	m.Handle(MethodList, wire.Typed(func(context.Context, string, struct{}) ([]Quarantine, error) {
+		active, _ := r.Quarantines()
+		return active, nil
+	}))
 }
 
 // Report records the end of an engine that this host observed, and reports it to the
@@ -155,18 +168,50 @@
 	r.published = published
 }
 
-// Run publishes and withdraws quarantines until the context ends.
+// Run publishes and withdraws quarantines until the context ends, or exchanges them with
+// peers if there is no store.
 func (r *Registry) Run(ctx context.Context) error {
-	ticker := time.NewTicker(publishInterval)
+	interval := publishInterval
+	if r.options.Store == nil {
+		interval = exchangeInterval
+	}
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-r.wake:
 		case <-ticker.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		r.publish(ctx)
+		if r.options.Store == nil {
+			r.exchange(ctx, round)
+		} else {
+			r.publish(ctx)
+		}
+	}
+}
+
+// exchange adopts the quarantines of one of the peers, which take turns.
+func (r *Registry) exchange(ctx context.Context, round int) {
+	self := r.options.Members.Self().Name
+	peers := slices.DeleteFunc(r.options.Members.Members(), func(m member.Member) bool {
+		return m.Name == self || m.State != member.Alive
+	})
+	if len(peers) == 0 {
+		return
+	}
+	peer := peers[round%len(peers)]
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var list []Quarantine
+	if err := r.options.Caller.Call(ctx, peer.PeerAddress, MethodList, struct{}{}, &list); err != nil {
+		r.options.Log.WithError(err).WithFields(logrus.Fields{"event": "quarantines_not_read", "member": peer.Name}).
+			Debug("a host did not answer with its quarantines; the next one is asked")
+		return
+	}
+	for _, q := range list {
+		r.Adopt(q)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/verbenapier/verbenapier/internal/alarm"
 	"github.com/verbenapier/verbenapier/internal/claims"
 	"github.com/verbenapier/verbenapier/internal/config"
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/entry"
@@ -83,6 +84,7 @@
 	entry      *entry.Server
 	claims     *claims.Log
 	poison     *poison.Registry
+	content    *crash.Registry
 	limits     *limits.Limiter
 	alarms     *alarm.Monitor
 
@@ -171,6 +173,7 @@
 		Cells:         d.cells,
 		Engines:       entryEngines{d.cells.engines},
 		Quarantine:    d.buildQuarantine(),
+		Content:       d.buildContent(),
 		Admission:     d.buildAdmission(),
 		Claims:        d.buildClaims(),
 		Directory: &directory{
@@ -235,6 +238,7 @@
 	d.group.Go("renewals", d.entry.Run)
 	d.group.Go("claims", d.claims.Run)
 	d.group.Go("quarantine", d.poison.Run)
+	d.group.Go("content", d.content.Run)
 	d.group.Go("limits", d.limits.Run)
 	d.runAdmin(listeners.admin)
 	d.log.WithFields(logrus.Fields{"event": "daemon_started", "listen": listeners.callers.Addr().String()}).
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/verbenapier/verbenapier/internal/admin"
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/entry"
 	"github.com/verbenapier/verbenapier/internal/poison"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -24,6 +25,16 @@
 	return quarantine{d.poison}
 }
 
+// buildContent creates the registry of prompts' beginnings that crash engines. Hosts
+// learn its quarantines from each other.
+func (d *Daemon) buildContent() entry.Content {
+	d.content = crash.NewRegistry(crash.Options{
+		Members: d.members, Caller: d.peerClient, Group: d.group, Log: d.log, Metrics: d.metrics.SubScope("crash"),
+	})
+	d.content.Register(d.mux)
+	return d.content
+}
+
 // quarantine adapts the registry to entry.Quarantine and admin.Quarantine.
 type quarantine struct{ registry *poison.Registry }
 
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -23,6 +23,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/verbenapier/verbenapier/internal/certs"
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/sched"
@@ -136,7 +137,7 @@
 			BodyTimeout: time.Minute, WriteTimeout: time.Minute,
 		},
 		Configuration: fixedConfig{testDocument()}, Cells: &fixedCells{address: address},
-		Engines: clientEngines{engine.NewClient(transport)}, Quarantine: admitAll{f}, Admission: f,
+		Engines: clientEngines{engine.NewClient(transport)}, Quarantine: admitAll{f}, Content: nodeContent{crash.NewTracker()}, Admission: f,
 		Claims: noClaims{}, Directory: f, Dial: dialer.TCP, Group: g, Log: log, Metrics: tally.NoopScope,
 	})
 	b.Cleanup(func() {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -128,12 +128,18 @@
 		ID: fmt.Sprintf("%s/%d", c.id, c.attempts), Fingerprint: c.fingerprint,
 		QuarantineTime: c.serviceConfig.QuarantineTime.Std(),
 	}
+	t := &transfer{call: c, out: out}
+	suspects, err := c.server.content.admit(ctx, t, prefixContent(c.prefixes))
+	if err != nil {
+		return err
+	}
+	defer func() { c.server.content.end(t, suspects) }()
 	// A prompt suspected of crashing engines must run alone on its engine.
 	alone, err := c.server.options.Quarantine.Admit(ctx, dispatch)
 	if err != nil {
 		return err
 	}
-	grant, err := c.acquire(ctx, alone)
+	grant, err := c.acquire(ctx, alone || len(suspects) > 0)
 	if err != nil {
 		c.releaseSuspect(ctx, dispatch, alone)
 		return err
@@ -145,7 +151,7 @@
 		Fingerprint: c.fingerprint, Tokens: c.promptTokens + c.maxTokens, Attempt: c.attempts, Alone: alone,
 		Members: grant.Members, Reservation: grant.Reservation, Shares: grant.Shares,
 	})
-	t := &transfer{call: c, grant: grant, out: out}
+	t.grant = grant
 	err = t.run(ctx)
 	c.releaseGrant(ctx, t, err)
 	if err == nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -170,6 +170,7 @@
 	Cells         Cells
 	Engines       Engines
 	Quarantine    Quarantine
+	Content       Content
 	Admission     Admission
 	Claims        Claims
 	Directory     Directory
@@ -211,6 +212,7 @@
 	digests      loadDigests
 	usage        usageCounters
 	routes       routeIndex
+	content      *contentGate
 
 	mu    sync.Mutex
 	calls map[string]*call
@@ -225,6 +227,7 @@
 		plainClient: &http.Client{Transport: dialer.Transport(options.Dial), CheckRedirect: returnRedirect},
 		bodyMemory:  semaphore.NewWeighted(options.Limits.MaxBuffered),
 		calls:       map[string]*call{},
+		content:     newContentGate(options.Content),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", s.guard(s.completions))
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -60,7 +61,7 @@
 			MaxBody: 1 << 20, MaxBuffered: 8 << 20, MaxRequests: 1000,
 			BodyTimeout: time.Second, WriteTimeout: time.Second,
 		},
-		Configuration: fixedConfig{doc}, Cells: f, Engines: f, Quarantine: admitAll{f}, Admission: f,
+		Configuration: fixedConfig{doc}, Cells: f, Engines: f, Quarantine: admitAll{f}, Content: nodeContent{crash.NewTracker()}, Admission: f,
 		Claims: noClaims{}, Directory: f, Dial: dialer.TCP, Group: g, Log: log, Metrics: tally.NoopScope,
 	})
 }
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/sched"
 	"github.com/verbenapier/verbenapier/pkg/confd"
@@ -289,6 +290,11 @@
 	return nil
 }
 
+// nodeContent is the content that one node knows.
+type nodeContent struct{ *crash.Tracker }
+
+func (n nodeContent) Report(r crash.Report) { n.Ended(r) }
+
 // admitAll is a quarantine that admits every dispatch and requires none to run
 // alone.
 type admitAll struct{ *fakeFleet }
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -168,6 +168,7 @@
 	c := t.call
 	if t.firstPieceAt.IsZero() {
 		t.firstPieceAt = time.Now()
+		c.server.content.answered(t)
 	}
 	if err := t.out.writeText(piece); err != nil {
 		return err
