crash: a trial that had begun is no evidence for parts that it cleared

What callers saw: a sound request, caught by the end of an engine before its first event, ran as a trial and began to be answered; its engine then ended for another reason, and the request was refused as crashing for 2 minutes. Cause: the parts on trial are those at the time of the grant, and the end after the first event counted against them although the first event had cleared the suspicion. Change: after the first event, only parts that are still suspected count.

--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -144,7 +144,11 @@
 		}
 	}
 	t.expire(now)
-	suspects := slices.DeleteFunc(slices.Clone(report.Suspects), func(p Part) bool { return !slices.Contains(parts, p) })
+	suspects := slices.DeleteFunc(slices.Clone(report.Suspects), func(p Part) bool {
+		// A trial that had begun to be answered is no evidence for a part that was
+		// suspected because engines ended before that.
+		return !slices.Contains(parts, p) || report.Begun && !t.record(p).suspected(now)
+	})
 	if len(suspects) == 0 {
 		return Quarantine{}, false
 	}
--- a/internal/crash/tracker_test.go
+++ b/internal/crash/tracker_test.go
@@ -104,6 +104,17 @@
 				t.Ended(Report{Engine: e, Content: first, Begun: true})
 			}
 		}, first, []Part{100}, false},
+		"ended after its trial began": {func(t *Tracker) {
+			end(t, "e1", first)
+			suspects := t.Check(first).Suspects
+			t.Began(first)
+			t.Ended(Report{Engine: "e2", Content: first, Begun: true, Suspects: suspects})
+		}, first, nil, false},
+		"ended after it began, also in its trial": {func(t *Tracker) {
+			for _, e := range []string{"e1", "e2", "e3", "e4"} {
+				t.Ended(Report{Engine: e, Content: first, Begun: true, Suspects: t.Check(first).Suspects})
+			}
+		}, first, []Part{100}, true},
 		"forgotten": {func(t *Tracker) { end(t, "e1", first); time.Sleep(suspectTime) }, first, nil, false},
 		"after the quarantine": {func(t *Tracker) {
 			end(t, "e1", first)
