--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -295,9 +296,25 @@
 	}
 }
 
-// Close ends all processes and removes the temporary folder.
-func (f *Fleet) Close() {
+// CloseOnSignal ends all processes if this one is told to end.
+func (f *Fleet) CloseOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	f.background.Go(func() {
+		select {
+		case <-signals:
+			f.killAll()
+			_ = os.RemoveAll(f.folder)
+			os.Exit(notRun)
+		case <-f.stop:
+		}
+	})
+}
+
+// killAll ends the processes of all machines.
+func (f *Fleet) killAll() {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.closed = true
 	for _, g := range f.gateways {
 		if g.exited != nil {
@@ -305,7 +322,11 @@
 			_ = g.command.Process.Kill()
 		}
 	}
-	f.mu.Unlock()
+}
+
+// Close ends all processes and removes the temporary folder.
+func (f *Fleet) Close() {
+	f.killAll()
 	for _, g := range f.gateways {
 		if g.exited != nil {
 			<-g.exited
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -38,6 +38,7 @@
 		return notRun
 	}
 	defer f.Close()
+	f.CloseOnSignal()
 	verdict, err := cases[os.Args[1]](f, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		record.Say("the case could not run: %v", err)
