--- a/review/stand/case_gone.go
+++ b/review/stand/case_gone.go
@@ -16,8 +16,7 @@
 	// until the engines are gone, and awayTime how long there are no others.
 	burstTime  = 9500 * time.Millisecond
 	noticeTime = 2500 * time.Millisecond
-	// They come four seconds after the zone has room again.
-	awayTime = (5 + 4) * time.Second
+	awayTime   = 5 * time.Second
 	// lateLeave is how much longer each of the other servers takes to leave.
 	lateLeave = 1500 * time.Millisecond
 	// allowedLosses is the number of closed connections that the rule LOST allows.
@@ -121,7 +120,7 @@
 			time.Sleep(time.Duration(rand.ExpFloat64() / rate * float64(time.Second)))
 		}
 	})
-	for cycle := 0; cycle < 3 && f.allReady(); cycle++ {
+	for cycle := 0; cycle < 4 && f.allReady(); cycle++ {
 		mu.Lock()
 		burstStart = time.Now()
 		mu.Unlock()
