relay: late calls with large answers get an answer when the host stops

Callers saw: a call sent 3.0 to 3.8 s after the SIGTERM of its host (grace period 8 s) whose answer is larger than 128 KiB and lasts longer than the stop: the beginning came, then the connection was closed at 7.6 s.

Cause: a large answer is passed on once the buffer is full, and from then on no failure can be sent in its place. Streams are refused 3 s after the signal for this reason, calls are not.

Change: the answer to a call that arrives later than 3 s after the signal is buffered up to 4 MiB, so that the call gets 504 host_stopped while its connection is open. Weighed: refusing all calls after 3 s refuses many that would end in time.

Answers over 4 MiB can still be cut.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -27,6 +27,8 @@
 	r       *http.Request
 	arrived time.Time
 	stage   stage
+	// late is set if the request arrived more than leavingAcceptTime after Leave.
+	late bool
 
 	meta         RequestMeta
 	target       target.Target
--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	// leavingAcceptTime is how long after Leave new streams are accepted.
+	// leavingAcceptTime is how long after Leave new streams are accepted. Answers to
+	// later calls are buffered up to maxLateBody bytes: until an answer has begun, a
+	// failure can be sent in its place when the host stops.
 	leavingAcceptTime = 3 * time.Second
+	maxLateBody       = 4 << 20
 	// plainTime is the longest time that a call of a plain service is expected to
 	// take. On a host that stops, calls that take longer may end without the answer of
 	// their upstream.
@@ -28,12 +31,22 @@
 // this host stops.
 func (c *call) refuseWhenLeaving() error {
 	since := c.server.leavingSince.Load()
-	if since != nil && c.route.Stream && time.Since(*since) > leavingAcceptTime {
+	c.late = since != nil && time.Since(*since) > leavingAcceptTime
+	if c.late && c.route.Stream {
 		return refuseStopping()
 	}
 	return c.refuseIfTooLong(c.runTime())
 }
 
+// bufferLimit returns the number of bytes of an answer's body that are read before any
+// are sent to the caller.
+func (c *call) bufferLimit() int64 {
+	if c.late {
+		return maxLateBody
+	}
+	return maxBufferedBody
+}
+
 // refuseIfTooLong refuses a request that takes longer than this host serves. A request
 // that may have run cannot be refused.
 func (c *call) refuseIfTooLong(need time.Duration) error {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -30,8 +30,8 @@
 	header http.Header
 	status int
 	body   []byte
-	// rest is the unread remainder of a body of maxBufferedBody bytes or more,
-	// otherwise nil.
+	// rest is the unread remainder of a body that is larger than the buffer, otherwise
+	// nil.
 	rest io.Reader
 	// release ends the attempt whose response has a rest.
 	release func()
@@ -203,15 +203,15 @@
 	return nil
 }
 
-// readResponse reads a response into memory, up to maxBufferedBody bytes of its
-// body.
+// readResponse reads a response into memory, up to bufferLimit bytes of its body.
 func (c *call) readResponse(resp *http.Response) (*bufferedResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
+	limit := c.bufferLimit()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
 	if err != nil {
 		return nil, fault.Wrap(fault.UpstreamLost, err, "the answer broke off")
 	}
 	b := &bufferedResponse{header: resp.Header, status: resp.StatusCode, body: body}
-	if len(body) == maxBufferedBody {
+	if int64(len(body)) == limit {
 		b.rest = resp.Body
 	}
 	return b, nil
