relay, entry: an answer without a length does not look complete if its upstream ended

Callers saw: 200 with an empty or short body and a length or chunks of our own, when an upstream that sends neither ended during its answer. A stream ended as whole between two events. verbenapierd recorded such an answer as the outcome of a call that may run once.

Cause: a body without a length ends with its connection, and the kernel closes the connections of a process that ends in the same way. Our framing to the caller stated that the body was complete.

Change: the body of a success that ends with its connection counts as complete only if it is not empty and its upstream still runs. Otherwise the attempt is lost, as if the connection had been reset.

Evidence: TestAnswerEndsWithConnection failed in 8 cases before, TestLargeAnswerEndsWithConnection and TestCallStopsInHead failed too; all pass now. The report itself, a head that is cut, was played byte by byte on both request paths and held before the change (TestAnswerStopsInHead, TestContinuationStopsInHead, TestStreamStopsInHead).

TestStreamEndsWithConnection: its case "whole" had an engine that was gone after a stream without a length, and demanded that it count as complete. That cannot be told from an engine that ended between two events, which the new case "between two events" covers; a whole stream of an engine that runs is now TestWholeStreamEndsWithConnection.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/target"
@@ -145,7 +147,10 @@
 		}
 		resp, err := p.send(ctx, p.server.plainClient, address)
 		if err == nil {
-			return p.streamResponse(w, resp)
+			err = p.beginResponse(ctx, resp, address)
+		}
+		if err == nil {
+			return p.streamResponse(ctx, w, resp, address)
 		}
 		dispatched = dispatched || !fault.Is(err, fault.Unreachable)
 		lastErr = err
@@ -219,7 +224,7 @@
 		var resp *http.Response
 		resp, err = p.send(ctx, p.server.plainClient, address)
 		if err == nil {
-			return p.readResponse(resp)
+			return p.readResponse(ctx, resp, address)
 		}
 		if !fault.Is(err, fault.Unreachable) {
 			return Outcome{}, nil, p.finalError(ctx, err, true)
@@ -229,7 +234,7 @@
 }
 
 // readResponse reads a response in full.
-func (p *plainCall) readResponse(resp *http.Response) (Outcome, http.Header, error) {
+func (p *plainCall) readResponse(ctx context.Context, resp *http.Response, address string) (Outcome, http.Header, error) {
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxOutcomeBody+1))
 	if err != nil {
@@ -238,6 +243,9 @@
 	if len(body) > maxOutcomeBody {
 		return Outcome{}, nil, fault.New(fault.UpstreamFailed, "the answer of service %s exceeds %d bytes", p.service, maxOutcomeBody)
 	}
+	if err := p.verifyEnd(ctx, resp, address, len(body) == 0); err != nil {
+		return Outcome{}, nil, err
+	}
 	return Outcome{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, resp.Header, nil
 }
 
@@ -265,7 +273,7 @@
 }
 
 // streamResponse copies a response to the caller as it arrives.
-func (p *plainCall) streamResponse(w http.ResponseWriter, resp *http.Response) error {
+func (p *plainCall) streamResponse(ctx context.Context, w http.ResponseWriter, resp *http.Response, address string) error {
 	defer func() { _ = resp.Body.Close() }()
 	header.Copy(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
@@ -280,9 +288,14 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			err = p.verifyEnd(ctx, resp, address, false)
+			if err == nil {
+				return nil
+			}
 		}
 		if err != nil {
+			p.server.options.Log.WithError(err).WithFields(logrus.Fields{"event": "answer_broken_off", "service": p.service, "upstream": address}).
+				Warn("an answer broke off after a part of it was passed on")
 			// The status is already sent, so closing the connection is the only
 			// way to tell the caller that the response is incomplete.
 			panic(http.ErrAbortHandler)
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -1,4 +1,5 @@
-// Package header copies HTTP headers from one connection to another.
+// Package header copies HTTP headers from one connection to another, and reads from them
+// where a body ends.
 package header
 
 import (
@@ -33,3 +34,10 @@
 		}
 	}
 }
+
+// EndsWithConnection reports whether a response has a body with neither a length nor
+// chunks, which ends with its connection.
+func EndsWithConnection(resp *http.Response) bool {
+	head := resp.Request != nil && resp.Request.Method == http.MethodHead
+	return !head && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -96,13 +96,13 @@
 		return err
 	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		return c.forwardFailure(resp, &a.ended)
+		return c.forwardFailure(ctx, resp, a)
 	}
 	switch streams := isEventStream(resp); {
 	case a.resumed && !streams:
 		return fault.New(fault.UpstreamFailed, "the engine continued a stream with status %d and content of type %q", resp.StatusCode, resp.Header.Get("Content-Type"))
 	case !streams && resp.Header.Get("Content-Type") != "":
-		return c.forwardWhole(resp, &a.ended)
+		return c.forwardWhole(ctx, resp, a)
 	}
 	if err := c.forwardEvents(ctx, resp, a, st); err != nil {
 		return err
@@ -176,8 +176,8 @@
 // forwardFailure sends an error response of the engine to the caller. It returns
 // an error instead if the request can be sent again or if the response cannot be
 // forwarded.
-func (c *call) forwardFailure(resp *http.Response, ended *place.EndedRequest) error {
-	b, err := c.readResponse(resp)
+func (c *call) forwardFailure(ctx context.Context, resp *http.Response, a *attempt) error {
+	b, err := c.readResponse(ctx, resp, a.grant.Upstream)
 	if err != nil {
 		return err
 	}
@@ -185,7 +185,7 @@
 	if c.headerSent || b.rest != nil || b.status >= http.StatusInternalServerError && c.route.Repeatable() && c.attempts < c.route.Attempts {
 		return fault.New(fault.UpstreamFailed, "the engine answered with status %d", b.status)
 	}
-	ended.Outcome = place.Completed
+	a.ended.Outcome = place.Completed
 	return c.writeResponse(b)
 }
 
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -21,12 +21,12 @@
 }
 
 // forwardWhole sends a response that is no stream to the caller.
-func (c *call) forwardWhole(resp *http.Response, ended *place.EndedRequest) error {
-	b, err := c.readResponse(resp)
+func (c *call) forwardWhole(ctx context.Context, resp *http.Response, a *attempt) error {
+	b, err := c.readResponse(ctx, resp, a.grant.Upstream)
 	if err != nil {
 		return err
 	}
-	ended.Outcome = place.Completed
+	a.ended.Outcome = place.Completed
 	return c.writeResponse(b)
 }
 
@@ -60,7 +60,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return c.finishStream(resp, a, &splitter)
+			return c.finishStream(ctx, resp, a, &splitter)
 		}
 		if err != nil {
 			if cause := context.Cause(ctx); cause != nil {
@@ -155,17 +155,18 @@
 }
 
 // finishStream accepts the end of a stream, unless the stream ended in the middle of an
-// event. A stream without a length that ends with its connection before it began looks
-// the same when its engine ends, so it counts as broken off too. So does a continuation
-// without an event: it may come from an engine that does not know the request.
-func (c *call) finishStream(resp *http.Response, a *attempt, splitter *event.Splitter) error {
-	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+// event, or without a length and before it began. A continuation without an event counts
+// as broken off too: it may come from an engine that does not know the request.
+func (c *call) finishStream(ctx context.Context, resp *http.Response, a *attempt, splitter *event.Splitter) error {
 	switch {
 	case splitter.Partial() > 0:
 		return fault.Wrap(fault.UpstreamLost, io.ErrUnexpectedEOF, "the stream ended in the middle of an event")
-	case (endsWithConnection || a.resumed) && !a.begun:
+	case (header.EndsWithConnection(resp) || a.resumed) && !a.begun:
 		return fault.Wrap(fault.UpstreamLost, io.ErrUnexpectedEOF, "the stream ended before its first event")
 	}
+	if err := c.verifyEnd(ctx, resp, a.grant.Upstream, !a.begun); err != nil {
+		return err
+	}
 	c.sendHeader(resp)
 	return nil
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -33,6 +33,8 @@
 	// rest is the unread remainder of a body that is larger than the buffer, otherwise
 	// nil.
 	rest io.Reader
+	// verifyEnd returns an error if the body may be incomplete although rest has ended.
+	verifyEnd func() error
 	// release ends the attempt whose response has a rest.
 	release func()
 }
@@ -175,7 +177,7 @@
 	if err := c.verify(resp, v); err != nil {
 		return nil, err
 	}
-	b, err = c.readResponse(resp)
+	b, err = c.readResponse(ctx, resp, u)
 	if err == nil && b.status < http.StatusInternalServerError {
 		outcome = place.Completed
 	}
@@ -203,16 +205,24 @@
 	return nil
 }
 
-// readResponse reads a response into memory, up to bufferLimit bytes of its body.
-func (c *call) readResponse(resp *http.Response) (*bufferedResponse, error) {
+// readResponse reads the response of an upstream into memory, up to bufferLimit bytes of
+// its body.
+func (c *call) readResponse(ctx context.Context, resp *http.Response, u place.Upstream) (*bufferedResponse, error) {
 	limit := c.bufferLimit()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
 	if err != nil {
 		return nil, fault.Wrap(fault.UpstreamLost, err, "the answer broke off")
 	}
-	b := &bufferedResponse{header: resp.Header, status: resp.StatusCode, body: body}
+	b := &bufferedResponse{
+		header: resp.Header, status: resp.StatusCode, body: body,
+		verifyEnd: func() error { return c.verifyEnd(ctx, resp, u, len(body) == 0) },
+	}
 	if int64(len(body)) == limit {
 		b.rest = resp.Body
+		return b, nil
+	}
+	if err := b.verifyEnd(); err != nil {
+		return nil, err
 	}
 	return b, nil
 }
@@ -245,7 +255,10 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			if b.rest == nil {
+				return nil
+			}
+			return b.verifyEnd()
 		}
 		if err != nil {
 			return fault.Wrap(fault.UpstreamLost, err, "the answer broke off")
