claims, poison: tests that inject unexpected errors into their loops

Change: the stand-ins of the store panic on the next calls; the nodes must go on, lose no report and run no call twice.

--- a/internal/claims/fake_test.go
+++ b/internal/claims/fake_test.go
@@ -29,7 +29,9 @@
 	// direction.
 	down     bool
 	lossRate float64
-	delay    time.Duration
+	// panics counts down the calls that are still to panic.
+	panics int
+	delay  time.Duration
 }
 
 func newFakeStore(random *netem.Random) *fakeStore {
@@ -42,6 +44,19 @@
 	f.down, f.lossRate, f.delay = down, lossRate, delay
 }
 
+// injectPanics makes the next calls panic.
+func (f *fakeStore) injectPanics(calls int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.panics = calls
+}
+
+func (f *fakeStore) panicsLeft() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.panics
+}
+
 // delayCall simulates one direction of the connection to the store.
 func (f *fakeStore) delayCall(ctx context.Context) error {
 	f.mu.Lock()
@@ -50,6 +65,10 @@
 	pause(ctx, f.random.Duration(delay))
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.panics > 0 {
+		f.panics--
+		panic("injected in the store")
+	}
 	if f.down || ctx.Err() != nil {
 		return fault.New(fault.PlatformDown, "the fake store is down")
 	}
--- a/internal/poison/fake_test.go
+++ b/internal/poison/fake_test.go
@@ -25,6 +25,8 @@
 	// lost. Half of these writes have no effect.
 	down     bool
 	lossRate float64
+	// panics counts down the calls that are still to panic.
+	panics int
 }
 
 func newFakeStore(random *netem.Random) *fakeStore {
@@ -37,11 +39,28 @@
 	f.down, f.lossRate = down, lossRate
 }
 
+// injectPanics makes the next calls panic.
+func (f *fakeStore) injectPanics(calls int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.panics = calls
+}
+
+func (f *fakeStore) panicsLeft() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.panics
+}
+
 // delayCall simulates the connection to the store.
 func (f *fakeStore) delayCall(ctx context.Context) error {
 	pause(ctx, f.random.Duration(4*time.Millisecond))
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.panics > 0 {
+		f.panics--
+		panic("injected in the store")
+	}
 	if f.down || ctx.Err() != nil {
 		return fault.New(fault.PlatformDown, "the fake store is down")
 	}
