--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,6 +32,8 @@
 	random *rand.Rand
 	member member.Mechanism
 	config Mechanism
+	// panics is the number of calls of managers to the store that are still to panic.
+	panics atomic.Int64
 
 	mu       sync.Mutex
 	problems []string
@@ -95,7 +98,7 @@
 		OnChange: func(before, after member.Member) { f.checkMember(n.name, before, after) },
 	})
 	n.manager = New(Options{
-		Store: n.client, Caller: n.endpoint, Members: n.table, Random: random(2), Log: log, Join: join, Disabled: f.config,
+		Store: panickyStore{n.client, &f.panics}, Caller: n.endpoint, Members: n.table, Random: random(2), Log: log, Join: join, Disabled: f.config,
 		OnChange: func(before, after uint64) {
 			if after <= before {
 				f.reportProblem("%s: revision fell from %d to %d", n.name, before, after)
