dialer: one check of answers without a length for both request paths

Cause: the check of the gateway asked the upstream for its load, so a whole answer without a length was lost when its upstream refused or reset other requests at the moment, and the two paths had a check each.

Change: dialer.VerifyEnd opens a connection: an upstream that accepts it runs. An upstream that is only slow to accept has not ended.

The tests end an upstream by closing its port now, which is stricter than a check that says so.

--- /dev/null
+++ b/internal/dialer/end.go
@@ -0,0 +1,41 @@
+package dialer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/verbenapier/verbenapier/internal/header"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// endCheckTimeout bounds the check of whether an upstream still runs. It is several times
+// the latency between failure domains.
+const endCheckTimeout = 300 * time.Millisecond
+
+// VerifyEnd returns an error of kind UpstreamLost if the body of a success may be
+// incomplete although it ended without an error. The system closes the connections of a
+// process that ends, so a body that ends with its connection counts as complete only if it
+// is not empty and its upstream still accepts connections.
+func VerifyEnd(ctx context.Context, dial Func, address string, resp *http.Response, empty bool) error {
+	if !header.EndsWithConnection(resp) || resp.StatusCode >= http.StatusMultipleChoices {
+		return nil
+	}
+	if empty {
+		return fault.Wrap(fault.UpstreamLost, io.ErrUnexpectedEOF, "the connection was closed after the header of an answer without a length")
+	}
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+	defer cancel()
+	conn, err := dial(ctx, address)
+	if err == nil {
+		_ = conn.Close()
+		return nil
+	}
+	if ctx.Err() != nil {
+		// An upstream that is only slow to accept a connection has not ended.
+		return nil
+	}
+	return fault.Wrap(fault.UpstreamLost, errors.Join(io.ErrUnexpectedEOF, err), "the upstream ended after an answer without a length")
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/target"
@@ -243,7 +244,7 @@
 	if len(body) > maxOutcomeBody {
 		return Outcome{}, nil, fault.New(fault.UpstreamFailed, "the answer of service %s exceeds %d bytes", p.service, maxOutcomeBody)
 	}
-	if err := p.verifyEnd(ctx, resp, address, len(body) == 0); err != nil {
+	if err := dialer.VerifyEnd(ctx, p.server.options.Dial, address, resp, len(body) == 0); err != nil {
 		return Outcome{}, nil, err
 	}
 	return Outcome{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, resp.Header, nil
@@ -288,7 +289,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			err = p.verifyEnd(ctx, resp, address, false)
+			err = dialer.VerifyEnd(ctx, p.server.options.Dial, address, resp, false)
 			if err == nil {
 				return nil
 			}
--- a/internal/relay/answers_test.go
+++ b/internal/relay/answers_test.go
@@ -84,8 +84,10 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			g := newGateway(t)
-			g.engines.dead = "e1"
-			g.addUpstream("e1", func(c net.Conn) { write(c, streamHead+tc.first) })
+			g.addUpstream("e1", func(c net.Conn) {
+				g.endUpstream("e1")
+				write(c, streamHead+tc.first)
+			})
 			g.addUpstream("e2", wholeStream(tc.second))
 			_, body, err := g.get("/stream/x")
 			require.NoError(t, err)
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/event"
 	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/place"
@@ -164,7 +165,7 @@
 	case (header.EndsWithConnection(resp) || a.resumed) && !a.begun:
 		return fault.Wrap(fault.UpstreamLost, io.ErrUnexpectedEOF, "the stream ended before its first event")
 	}
-	if err := c.verifyEnd(ctx, resp, a.grant.Upstream, !a.begun); err != nil {
+	if err := dialer.VerifyEnd(ctx, c.server.options.Dial, a.grant.Upstream.Address, resp, !a.begun); err != nil {
 		return err
 	}
 	c.sendHeader(resp)
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,13 +105,13 @@
 func (p *orderedPlacer) ReleasePlain(place.Grant, place.Outcome, bool) {}
 
 // fakeReserver answers that all upstreams run, except the one with the ID dead.
-type fakeReserver struct{ dead string }
+type fakeReserver struct{ dead atomic.Value }
 
 func (*fakeReserver) Reserve(context.Context, place.Helper, int, time.Duration) error { return nil }
 func (*fakeReserver) Release(context.Context, place.Helper) error                     { return nil }
 
 func (r *fakeReserver) Alive(_ context.Context, u place.Upstream) error {
-	if u.ID == r.dead {
+	if u.ID == r.dead.Load() {
 		return errors.New("connection refused")
 	}
 	return nil
@@ -123,7 +124,9 @@
 	placer *orderedPlacer
 	// engines says which upstreams run.
 	engines *fakeReserver
-	url     string
+	// listeners are those of the upstreams, by their IDs.
+	listeners map[string]net.Listener
+	url       string
 
 	mu  sync.Mutex
 	log bytes.Buffer
@@ -133,7 +136,7 @@
 // may be repeated, and /stream-once/, /plain-once/ and, for all other paths, /, which
 // may not. The host other has a route /a/ only.
 func newGateway(t testing.TB) *gateway {
-	g := &gateway{t: t, group: group.New(t.Context()), placer: &orderedPlacer{}, engines: &fakeReserver{}}
+	g := &gateway{t: t, group: group.New(t.Context()), placer: &orderedPlacer{}, engines: &fakeReserver{}, listeners: map[string]net.Listener{}}
 	table := route.NewTable(&route.Config{
 		Routes: []route.Route{
 			{Host: "h", Prefix: "/stream/", Stream: true, Resumable: true, Timeout: 20 * time.Second, Attempts: 3, GapGoal: 100 * time.Millisecond, Shares: []route.Share{{Service: "model", Weight: 1}}},
@@ -192,6 +195,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(g.t, err)
 	g.t.Cleanup(func() { _ = l.Close() })
+	g.listeners[id] = l
 	g.placer.upstreams = append(g.placer.upstreams, place.Upstream{ID: id, Address: l.Addr().String()})
 	g.group.Go("upstream", func(context.Context) error {
 		for {
@@ -208,6 +212,12 @@
 	})
 }
 
+// endUpstream makes an upstream accept no further connections and answer no checks.
+func (g *gateway) endUpstream(id string) {
+	g.engines.dead.Store(id)
+	require.NoError(g.t, g.listeners[id].Close())
+}
+
 // get sends a request and returns the status and the body of the answer, and the
 // error after which the body ended.
 func (g *gateway) get(path string) (status int, body string, err error) {
--- a/internal/relay/head_test.go
+++ b/internal/relay/head_test.go
@@ -121,10 +121,12 @@
 			}
 			t.Run(name+path, func(t *testing.T) {
 				g := newGateway(t)
-				if tc.ended {
-					g.engines.dead = "u1"
-				}
-				g.addUpstream("u1", func(c net.Conn) { write(c, tc.answer) })
+				g.addUpstream("u1", func(c net.Conn) {
+					if tc.ended {
+						g.endUpstream("u1")
+					}
+					write(c, tc.answer)
+				})
 				g.addUpstream("u2", wholeStream(1))
 				status, body, err := g.get(path)
 				require.NoError(t, err)
@@ -144,12 +146,24 @@
 	}
 }
 
+// Guards against a whole answer without a length that is lost because its upstream takes
+// no other calls at the moment.
+func TestAnswerOfBusyUpstream(t *testing.T) {
+	g := newGateway(t)
+	g.engines.dead.Store("u1")
+	g.addUpstream("u1", func(c net.Conn) { write(c, upstreamHead+"Connection: close\r\n\r\nwhole") })
+	status, body, err := g.get("/plain-once/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "whole", body)
+}
+
 // Guards against a large answer without a length that looks complete although its upstream
 // ended after the beginning had been passed on.
 func TestLargeAnswerEndsWithConnection(t *testing.T) {
 	g := newGateway(t)
-	g.engines.dead = "u1"
 	g.addUpstream("u1", func(c net.Conn) {
+		g.endUpstream("u1")
 		write(c, upstreamHead+"Connection: close\r\n\r\n"+strings.Repeat("x", 2*maxBufferedBody))
 	})
 	_, _, err := g.get("/plain-once/x")
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/place"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -215,7 +216,7 @@
 	}
 	b := &bufferedResponse{
 		header: resp.Header, status: resp.StatusCode, body: body,
-		verifyEnd: func() error { return c.verifyEnd(ctx, resp, u, len(body) == 0) },
+		verifyEnd: func() error { return dialer.VerifyEnd(ctx, c.server.options.Dial, u.Address, resp, len(body) == 0) },
 	}
 	if int64(len(body)) == limit {
 		b.rest = resp.Body
--- a/internal/relay/reserve_test.go
+++ b/internal/relay/reserve_test.go
@@ -41,7 +41,7 @@
 func TestRenewalsAreIndependent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log, _ := test.NewNullLogger()
-		reserver := &pausedReserver{fakeReserver: fakeReserver{dead: "none"}, renewed: map[string]int{}}
+		reserver := &pausedReserver{renewed: map[string]int{}}
 		r := &reservation{
 			server: &Server{options: Options{Reserver: reserver}}, log: log,
 			helpers: []place.Helper{{ID: "paused"}, {ID: "h1"}, {ID: "h2"}},
