relay: bound the buffers for late answers

Cause: a call that arrives late in a stop may buffer 4 MiB, so that many answers without end could exceed the memory of a small host.

Change: eight such buffers at a time; further late calls have the buffer of other calls. The line answer_broken_off of verbenapierd is no warning: a caller that leaves causes it too.

Measured: tests of planned stops in platform/ and internal/relay pass. No test fills the eight buffers.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -296,7 +296,7 @@
 		}
 		if err != nil {
 			p.server.options.Log.WithError(err).WithFields(logrus.Fields{"event": "answer_broken_off", "service": p.service, "upstream": address}).
-				Warn("an answer broke off after a part of it was passed on")
+				Info("an answer broke off after a part of it was passed on")
 			// The status is already sent, so closing the connection is the only
 			// way to tell the caller that the response is incomplete.
 			panic(http.ErrAbortHandler)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -27,8 +27,9 @@
 	r       *http.Request
 	arrived time.Time
 	stage   stage
-	// late is set if the request arrived more than leavingAcceptTime after Leave.
-	late bool
+	// late is set if the request arrived more than leavingAcceptTime after Leave, and
+	// lateBuffer if its answer may be as large as maxLateBody.
+	late, lateBuffer bool
 
 	meta         RequestMeta
 	target       target.Target
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
@@ -201,8 +202,10 @@
 	started time.Time
 	client  *http.Client
 	metrics metrics
-	// buffers holds copy buffers for reuse.
-	buffers sync.Pool
+	// buffers holds copy buffers for reuse, and lateBuffers bounds the calls with a
+	// buffer of maxLateBody bytes.
+	buffers     sync.Pool
+	lateBuffers *semaphore.Weighted
 
 	// inFlight is the number of requests that are being served, and lastArrival
 	// when the last request arrived, in nanoseconds after started.
@@ -227,8 +230,9 @@
 	}
 	return &Server{
 		options: o, started: time.Now(), random: o.Random, metrics: newMetrics(o.Metrics),
-		client:  &http.Client{Transport: dialer.Transport(dial), CheckRedirect: returnRedirect},
-		buffers: sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }},
+		client:      &http.Client{Transport: dialer.Transport(dial), CheckRedirect: returnRedirect},
+		buffers:     sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }},
+		lateBuffers: semaphore.NewWeighted(maxLateBuffers),
 	}
 }
 
@@ -265,6 +269,7 @@
 	c := &call{server: s, w: w, r: r, arrived: time.Now()}
 	s.stages[stageReading].Add(1)
 	defer func() { s.stages[c.stage].Add(-1) }()
+	defer c.releaseBuffer(s)
 	err := guard.Do(r.Context(), s.options.Log, "request", func(context.Context) error { return c.run() })
 	if fault.Is(err, fault.Internal) {
 		s.metrics.recordPanic()
