launch: both daemons log the revision that they were built from

Users saw two cases of the review fail, on which code nobody knows: no log line tells it.

Change: the first line of a daemon's log, "build", has the revision of the checkout and whether its files were changed, as go build records them.

--- a/cmd/verbenapier-gateway/main.go
+++ b/cmd/verbenapier-gateway/main.go
@@ -48,6 +48,7 @@
 	logGroup := group.New(context.Background())
 	// The writer can't log its own errors.
 	logGroup.Go("log", guard.Loop(stderrLog(), "log", logWriter.Run))
+	launch.LogBuild(log)
 	err := serve(ctx, hangups, settings, log, logWriter)
 	logGroup.Stop()
 	if err := logGroup.WaitFor(logTimeout); err != nil {
--- a/cmd/verbenapierd/main.go
+++ b/cmd/verbenapierd/main.go
@@ -31,6 +31,7 @@
 		return code
 	}
 	log := newLog(settings)
+	launch.LogBuild(log)
 	d, err := daemon.New(settings, dialer.Host{}, log)
 	if err == nil {
 		err = d.Run(ctx)
