--- a/internal/launch/build.go
+++ b/internal/launch/build.go
@@ -6,8 +6,8 @@
 	"github.com/sirupsen/logrus"
 )
 
-// LogBuild logs from which code the daemon was built, so that a log tells which landing
-// it belongs to.
+// LogBuild logs the revision that the daemon was built from, so that a log tells which
+// code wrote it.
 func LogBuild(log logrus.FieldLogger) {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
