Review case 6: new machines that know only stale seeds schedule alone

Cause: gateways find each other only through the seeds in their settings. Once the seed machines were replaced, a new machine finds no other one and takes itself for the owner of every service.

--- /dev/null
+++ b/review/stand2/limit.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The figures of the rule LIMIT: from contactTime after an engine first named its limit,
+// it gets in some limitWindow no more than limitFactor times what the limit allows and
+// limitSlack requests, from the machines that had passed on such an answer passTime ago.
+const (
+	contactTime = 3 * time.Second
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	passTime    = 500 * time.Millisecond
+)
+
+// playLimit replaces machines by others at new addresses, one after the other, while
+// engines name a limit. The seeds in the settings stay as they are.
+func playLimit(s *stage) (verdict, error) {
+	const (
+		engineCount  = 3
+		limit        = 5
+		requestRate  = 90
+		trafficStart = 10 * time.Second
+		replaceEvery = 6 * time.Second
+		replaceAfter = 2 * time.Second
+		length       = 62 * time.Second
+	)
+	s.store.put("op/config", document(s.engines.service, true, 2))
+	s.engines.limit = limit
+	if err := s.startEngines(engineCount); err != nil {
+		return verdict{}, err
+	}
+	for n := 1; n <= 6; n++ {
+		if err := s.fleet.start(n); err != nil {
+			return verdict{}, err
+		}
+	}
+	time.Sleep(trafficStart)
+	end := time.Now().Add(length - trafficStart)
+	var tasks sync.WaitGroup
+	var failure error
+	if s.trouble {
+		// The first three machines are the seeds.
+		tasks.Go(func() {
+			for n := 1; n <= 4; n++ {
+				time.Sleep(replaceEvery - replaceAfter)
+				s.fleet.remove(n)
+				time.Sleep(replaceAfter)
+				if failure = s.fleet.start(6 + n); failure != nil {
+					return
+				}
+			}
+		})
+	}
+	every(time.Second/requestRate, end, func() {
+		machine, address, ok := s.choose()
+		if ok {
+			s.clients.send(machine, address, fmt.Sprintf("plaque %x", rand.Uint64()), 1000, 340)
+		}
+	})
+	tasks.Wait()
+	if failure != nil {
+		return verdict{}, failure
+	}
+	return s.judgeLimit(limit), nil
+}
+
+// choose picks a machine as clients do: it asks the directory of a machine, and takes one
+// of the addresses.
+func (s *stage) choose() (machine int, address string, ok bool) {
+	machines := s.fleet.calm(0)
+	if len(machines) == 0 {
+		return 0, "", false
+	}
+	asked := machines[rand.IntN(len(machines))]
+	addresses := s.clients.resolve(s.block.address(asked, portDirectory), zoneOf(asked))
+	if len(addresses) == 0 {
+		return 0, "", false
+	}
+	address = addresses[rand.IntN(len(addresses))]
+	for _, n := range machines {
+		if s.block.address(n, portFrontend) == address {
+			return n, address, true
+		}
+	}
+	return 0, "", false
+}
+
+// judgeLimit checks the rule LIMIT for each engine and window.
+func (s *stage) judgeLimit(limit float64) verdict {
+	s.engines.mu.Lock()
+	defer s.engines.mu.Unlock()
+	s.clients.mu.Lock()
+	defer s.clients.mu.Unlock()
+	// passedAt is when a machine first passed on an answer of an engine that named the
+	// limit.
+	passedAt := map[string]time.Time{}
+	for _, r := range s.engines.runs {
+		sent := s.clients.sent[r.attempt]
+		if sent == nil || sent.headAt.IsZero() || sent.status != 200 {
+			continue
+		}
+		key := sent.machine + " " + r.address
+		if at, ok := passedAt[key]; !ok || sent.headAt.Before(at) {
+			passedAt[key] = sent.headAt
+		}
+	}
+	counted := map[string][]run{}
+	for _, r := range s.engines.runs {
+		sent := s.clients.sent[r.attempt]
+		if sent == nil {
+			continue
+		}
+		at, ok := passedAt[sent.machine+" "+r.address]
+		if ok && r.at.Sub(at) >= passTime && r.at.Sub(s.engines.namedAt[r.address]) >= contactTime {
+			counted[r.address] = append(counted[r.address], r)
+		}
+	}
+	allowed := limitFactor*limit*limitWindow.Seconds() + limitSlack
+	var v verdict
+	for _, address := range slices.Sorted(maps.Keys(counted)) {
+		runs := counted[address]
+		most, first := 0, 0
+		for i := range runs {
+			n := 0
+			for n < len(runs)-i && runs[i+n].at.Sub(runs[i].at) <= limitWindow {
+				n++
+			}
+			if n > most {
+				most, first = n, i
+			}
+		}
+		machines := map[string]int{}
+		for _, r := range runs[first : first+most] {
+			machines[s.clients.sent[r.attempt].machine]++
+		}
+		var parts []string
+		for _, m := range slices.Sorted(maps.Keys(machines)) {
+			parts = append(parts, fmt.Sprintf("%s %d", m, machines[m]))
+		}
+		text := fmt.Sprintf("engine %s names %g/s and got %d requests in the %s from %.1f s on, allowed are %g: %s",
+			address[strings.LastIndexByte(address[:strings.IndexByte(address, ':')], '.')+1:], limit, most, limitWindow, runs[first].at.Sub(s.log.start).Seconds(), allowed, strings.Join(parts, ", "))
+		if float64(most) > allowed {
+			v.broken = append(v.broken, text)
+		} else {
+			v.details = append(v.details, text)
+		}
+	}
+	if len(counted) == 0 {
+		v.details = append(v.details, "no request was counted")
+	}
+	placers := s.fleet.placers(time.Now().Add(-5 * time.Second))
+	slices.Sort(placers)
+	v.details = append(v.details, fmt.Sprintf("machines that placed requests in the last seconds: %v", placers))
+	return v
+}
