Review case 7: a rolling restart forgets what crashes engines

Cause: the end of an engine whose request had begun to be answered is reported to the owner of the cell alone, and the count of such ends ends with its process.

--- a/review/stand2/poison.go
+++ b/review/stand2/poison.go
@@ -46,7 +46,11 @@
 	third := make(chan struct{})
 	if s.trouble {
 		tasks.Go(func() {
-			<-third
+			select {
+			case <-third:
+			case <-time.After(length - trafficStart):
+				return
+			}
 			time.Sleep(time.Second)
 			rolled := map[int]bool{}
 			for range rollCount {
@@ -68,7 +72,7 @@
 		}
 		if crashes < 3 {
 			crashes = len(s.poisonRuns())
-			if crashes == 3 {
+			if crashes >= 3 {
 				close(third)
 			}
 		}
