--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -175,6 +175,29 @@
 	return nil
 }
 
+// setSeeds changes the seeds in the settings of all machines, and tells their processes.
+func (f *fleet) setSeeds(machines ...int) error {
+	f.mu.Lock()
+	f.seeds = nil
+	for _, n := range machines {
+		f.seeds = append(f.seeds, f.block.address(n, portPeers))
+	}
+	var running []*gateway
+	for _, g := range f.gateways {
+		running = append(running, g)
+	}
+	f.mu.Unlock()
+	for _, g := range running {
+		path := filepath.Join(f.dir, g.name+".json")
+		if err := os.WriteFile(path, []byte(f.settings(g.number, zoneOf(g.number))), 0o600); err != nil {
+			return err
+		}
+		_ = g.process.Process.Signal(syscall.SIGHUP)
+	}
+	f.log.add("seeds-changed", "seeds", strings.Join(f.seeds, ","))
+	return nil
+}
+
 // follow notes which machine places requests, as operators see it in the log.
 func (f *fleet) follow(n int, log io.Reader) {
 	lines := bufio.NewScanner(log)
--- a/review/stand2/limit.go
+++ b/review/stand2/limit.go
@@ -21,16 +21,17 @@
 	passTime    = 500 * time.Millisecond
 )
 
-// playLimit replaces machines by others at new addresses, one after the other, while
-// engines name a limit. The seeds in the settings stay as they are.
+// playLimit replaces the machines that the settings name as seeds while engines name a
+// limit.
 func playLimit(s *stage) (verdict, error) {
 	const (
 		engineCount  = 3
 		limit        = 5
 		requestRate  = 90
 		trafficStart = 10 * time.Second
-		replaceEvery = 6 * time.Second
+		lossTime     = 6 * time.Second
 		replaceAfter = 2 * time.Second
+		seedLag      = 3 * time.Second
 		length       = 62 * time.Second
 	)
 	s.store.put("op/config", document(s.engines.service, true, 2))
@@ -48,16 +49,9 @@
 	var tasks sync.WaitGroup
 	var failure error
 	if s.trouble {
-		// The first three machines are the seeds.
 		tasks.Go(func() {
-			for n := 1; n <= 4; n++ {
-				time.Sleep(replaceEvery - replaceAfter)
-				s.fleet.remove(n)
-				time.Sleep(replaceAfter)
-				if failure = s.fleet.start(6 + n); failure != nil {
-					return
-				}
-			}
+			time.Sleep(lossTime)
+			failure = s.replaceSeeds(replaceAfter, seedLag)
 		})
 	}
 	every(time.Second/requestRate, end, func() {
@@ -73,6 +67,23 @@
 	return s.judgeLimit(limit), nil
 }
 
+// replaceSeeds removes the first three machines, which are the seeds, for good. Others come
+// at new addresses soon after; their settings still name the old seeds. After the lag of
+// the seeds, all settings files name machines that live, and the processes get SIGHUP.
+func (s *stage) replaceSeeds(replaceAfter, seedLag time.Duration) error {
+	for n := 1; n <= 3; n++ {
+		s.fleet.remove(n)
+	}
+	time.Sleep(replaceAfter)
+	for n := 7; n <= 9; n++ {
+		if err := s.fleet.start(n); err != nil {
+			return err
+		}
+	}
+	time.Sleep(seedLag - replaceAfter)
+	return s.fleet.setSeeds(4, 5, 6)
+}
+
 // choose picks a machine as clients do: it asks the directory of a machine, and takes one
 // of the addresses.
 func (s *stage) choose() (machine int, address string, ok bool) {
