Review case 7: large answers late in a planned stop are cut

Calls are admitted until 3.8 s after the signal; an answer over its buffer (128 KiB beside eight other late calls, otherwise 4 MiB) is passed on until the connections are closed.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -65,6 +65,7 @@
 var cases = map[string]func(s *stage) (verdict, error){
 	"limit":  playLimit,
 	"poison": playPoison,
+	"stop":   playStop,
 }
 
 func main() { os.Exit(run1()) }
