--- a/review/stand2/engine.go
+++ b/review/stand2/engine.go
@@ -34,8 +34,10 @@
 	// limit is the requests a second that each engine names, or 0.
 	limit float64
 	// poison is the body of a request that crashes each engine that begins to run it,
-	// and downTime how long such an engine is down.
+	// and downTime how long such an engine is down. Bodies that begin with early, unless
+	// it is empty, crash engines before their first event.
 	poison   string
+	early    string
 	downTime time.Duration
 	started  atomic.Int64
 
@@ -196,6 +198,10 @@
 		if !pause(r, eventTokens*stepTime) {
 			return
 		}
+		if a.early != "" && strings.HasPrefix(string(body), a.early) {
+			e.crash(attempt)
+			return
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
 		_ = http.NewResponseController(w).Flush()
 		if a.poison != "" && string(body) == a.poison {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -67,6 +67,7 @@
 	"poison": playPoison,
 	"stop":   playStop,
 	"permit": playPermit,
+	"common": playCommon,
 }
 
 func main() { os.Exit(run1()) }
