--- a/review/stand2/common.go
+++ b/review/stand2/common.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -22,14 +21,15 @@
 		minServed    = 0.25
 		lastPart     = 25 * time.Second
 		soundEvery   = time.Second
-		soundPhase   = 400 * time.Millisecond
+		soundPhase   = 800 * time.Millisecond
 		poisonCount  = 2
-		// Without the kill, a sound request is answered between the two requests.
-		poisonStart = 100 * time.Millisecond
-		poisonGap   = 600 * time.Millisecond
+		// The two requests come when the machines are back, and again every poisonEvery.
+		poisonStart = 1300 * time.Millisecond
+		poisonGap   = 200 * time.Millisecond
+		poisonEvery = 5 * time.Second
 	)
 	s.engines.early, s.engines.downTime = "poison", 4*time.Second
-	s.store.put("op/config", document(s.engines.service, true, 2))
+	s.store.put("op/config", document(s.engines.service, false, 1))
 	if err := s.startEngines(engineCount); err != nil {
 		return verdict{}, err
 	}
@@ -62,14 +62,8 @@
 		tasks.Go(func() {
 			time.Sleep(time.Until(faultAt) + poisonStart + time.Duration(i)*poisonGap)
 			for time.Now().Before(end) {
-				// A client that could not connect or was refused tries again soon; a request
-				// that crashed engines comes again later.
-				switch r := send(fmt.Sprintf("poison %d", i)); r.status {
-				case 0, http.StatusServiceUnavailable:
-					time.Sleep(150 * time.Millisecond)
-				default:
-					time.Sleep(5 * time.Second)
-				}
+				send(fmt.Sprintf("poison %d", i))
+				time.Sleep(poisonEvery)
 			}
 		})
 	}
