Crowds of clients that do not behave, against both daemons

Cause: clients that we don't control ended a process: its memory ran out. Change: internal/crowd plays such clients against a process on loopback and measures what it holds, unread bytes included.

--- /dev/null
+++ b/internal/crowd/meter.go
@@ -0,0 +1,73 @@
+package crowd
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// sampleInterval is the time between two measurements of a process.
+const sampleInterval = 10 * time.Millisecond
+
+// settledSamples is the number of equal measurements after which the bytes on the
+// connections of a process are taken to stay where they are.
+const settledSamples = 25
+
+// Settle waits until the process reads no more of what clients have sent, or has ended.
+func Settle(ctx context.Context, p *Process) error {
+	last, equal := Usage{}, 0
+	for equal < settledSamples && group.Sleep(ctx, sampleInterval) {
+		u, err := p.Usage()
+		select {
+		case <-p.Exited():
+			return nil
+		default:
+		}
+		if err != nil && !os.IsNotExist(err) {
+			return err
+		}
+		if equal++; u.queued != last.queued {
+			last, equal = u, 0
+		}
+	}
+	return ctx.Err()
+}
+
+// Meter measures a process again and again.
+type Meter struct {
+	group *group.Group
+	// peak is read only after the group has ended.
+	peak Usage
+}
+
+// Watch starts to measure a process.
+func Watch(ctx context.Context, p *Process) *Meter {
+	m := &Meter{group: group.New(ctx)}
+	m.group.Go("meter", func(ctx context.Context) error {
+		for {
+			u, err := p.Usage()
+			select {
+			case <-p.Exited():
+				return nil
+			default:
+			}
+			if err != nil && !os.IsNotExist(err) {
+				return err
+			}
+			m.peak.Memory, m.peak.Sockets = max(m.peak.Memory, u.Memory), max(m.peak.Sockets, u.Sockets)
+			if !group.Sleep(ctx, sampleInterval) {
+				return nil
+			}
+		}
+	})
+	return m
+}
+
+// Peak ends the measurements and returns the largest of each figure.
+func (m *Meter) Peak() (Usage, error) {
+	m.group.Stop()
+	err := m.group.Wait()
+	return m.peak, err
+}
