One bound for the process on what clients make it hold

Callers saw: a process that ran out of memory ended, and with it all their requests; where the descriptors ran out, new callers got no answer for a minute. Cause: each place had a bound of its own or none. Bodies together had none at the gateway; headers of many short lines take 24 times their size; connections had no bound, and one with a refused body that stops short had no deadline. Change: internal/quota counts connections, headers, bodies and buffered answers on all ports that clients reach, from memory_limit_mib and the new max_open_files, which verbenapierd has too. What makes no progress gives way; a request that was read is never broken off. Bodies announced over the limit are refused unread. The limits of both daemons' places for bodies and late answers are gone. Why it works: whatever the clients do, the sum of what is reserved stays under the quota, and what is not reserved is bounded for each connection. The tests of entry that took the old memory for bodies take the quota instead: a body small enough to be held with its connection needs none, so the refusal is shown with a longer one.

--- a/emul/system/crowd_test.go
+++ b/emul/system/crowd_test.go
@@ -1,7 +1,6 @@
 package system
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -134,9 +133,9 @@
 		{Name: "node", Role: "entry", Address: d.callers, PeerAddress: peers, FailureDomain: "d", State: "live"},
 	}}))
 	settings := fmt.Sprintf(`{
-		"name": "node", "failure_domain": "d", "platform": ["http://%s"], "insecure": true, "max_body_bytes": %d,
+		"name": "node", "failure_domain": "d", "platform": ["http://%s"], "insecure": true, "max_body_bytes": %d, "memory_limit_mib": %d,
 		"listen": %q, "peer_listen": %q, "admin_listen": %q,
-	}`, platform, crowdBody, d.callers, peers, d.operators)
+	}`, platform, crowdBody, crowdMemory, d.callers, peers, d.operators)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 	output, err := os.Create(d.logPath)
@@ -216,20 +215,34 @@
 	})
 }
 
+// crowdRequest returns a request of legal size whose body begins and ends as given, and is
+// filled in between.
+func crowdRequest(path, begin, fill, end string) crowd.Request {
+	body := begin + strings.Repeat(fill, (crowdBody-len(begin)-len(end))/len(fill))
+	body += strings.Repeat(" ", crowdBody-len(body)-len(end)) + end
+	return crowd.Request{Head: fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\n", path, shopKey), Body: []byte(body)}
+}
+
 // crowdRequests returns requests of legal size, the last of which takes many times its
 // size to decode.
 func crowdRequests() []crowd.Request {
-	pad := func(begin, fill, end string) []byte {
-		body := begin + strings.Repeat(fill, (crowdBody-len(begin)-len(end))/len(fill))
-		return []byte(body + strings.Repeat(" ", crowdBody-len(body)-len(end)) + end)
-	}
-	head := func(path string) string {
-		return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\n", path, shopKey)
-	}
 	return []crowd.Request{
-		{Head: head("/services/order-desk/look"), Body: bytes.Repeat([]byte("x"), crowdBody)},
-		{Head: head("/v1/completions"), Body: pad(`{"model":"draft","max_tokens":2,"prompt":"`, "x", `"}`)},
-		{Head: head("/v1/chat/completions"), Body: pad(`{"model":"draft","messages":[`, "{},", `{}]}`)},
+		crowdRequest("/services/order-desk/look", "", "x", ""),
+		crowdRequest("/v1/completions", `{"model":"draft","max_tokens":2,"prompt":"`, "x", `"}`),
+		crowdRequest("/v1/chat/completions", `{"model":"draft","messages":[`, "{},", `{}]}`),
+	}
+}
+
+// shapedRequests returns, by name, requests of legal size whose decoding may take many
+// times their size.
+func shapedRequests() map[string]crowd.Request {
+	return map[string]crowd.Request{
+		"long prompts":    crowdRequest("/v1/completions", `{"model":"draft","max_tokens":2,"prompt":"`, "x", `"}`),
+		"escaped prompts": crowdRequest("/v1/completions", `{"model":"draft","max_tokens":2,"prompt":"`, "<", `"}`),
+		"many prompts":    crowdRequest("/v1/completions", `{"model":"draft","prompt":[`, `"",`, `""]}`),
+		"empty messages":  crowdRequest("/v1/chat/completions", `{"model":"draft","messages":[`, "{},", `{}]}`),
+		"short messages":  crowdRequest("/v1/chat/completions", `{"model":"draft","max_tokens":2,"messages":[`, `{"role":"u","content":""},`, `{"role":"u","content":""}]}`),
+		"many parts":      crowdRequest("/v1/chat/completions", `{"model":"draft","messages":[{"role":"u","content":[`, "{},", `{}]}]}`),
 	}
 }
 
@@ -250,6 +263,9 @@
 	for name, b := range crowd.Behaviours(crowdHead) {
 		cases[name] = crowdCase{crowdClients, 0, b, crowdRequests()}
 	}
+	for name, r := range shapedRequests() {
+		cases[name] = crowdCase{crowdClients, 0, crowd.Behaviour{Complete: true}, []crowd.Request{r}}
+	}
 	var orders []crowd.Request
 	for range crowdClients {
 		head := fmt.Sprintf("POST /services/order-desk/orders HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\n", shopKey, uuid.Must(uuid.NewV7()))
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -36,21 +36,23 @@
 			data = whole[i/4%len(requests)]
 		}
 		g.Go("client", func(ctx context.Context) error {
-			conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
-			if err != nil {
-				// A client that is refused leaves.
-				return nil
+			// A client that is refused leaves.
+			if conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address); err == nil {
+				c.add(conn)
+				b.send(conn, data)
 			}
-			c.mu.Lock()
-			c.conns = append(c.conns, conn)
-			c.mu.Unlock()
-			b.send(conn, data)
 			return nil
 		})
 	}
 	return c, g.Wait()
 }
 
+func (c *Crowd) add(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conns = append(c.conns, conn)
+}
+
 // Close ends all clients.
 func (c *Crowd) Close() {
 	c.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/verbenapier/verbenapier/internal/params"
 	"github.com/verbenapier/verbenapier/internal/plat"
 	"github.com/verbenapier/verbenapier/internal/poison"
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/internal/wire"
 	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -38,9 +39,6 @@
 )
 
 const (
-	// maxBufferedBodies is how many request bodies of the maximum size may be
-	// buffered in memory at once.
-	maxBufferedBodies = 16
 	// writeTimeout bounds each write to a caller. If a caller does not read for
 	// that long, the write fails and the response is cut off.
 	writeTimeout = 15 * time.Second
@@ -88,6 +86,7 @@
 	cells      *cellSet
 	entry      *entry.Server
 	drain      *drain.Drain
+	quota      *quota.Quota
 	claims     *claims.Log
 	poison     *poison.Registry
 	content    *crash.Registry
@@ -125,6 +124,9 @@
 		drain:          drain.New(log),
 	}
 	d.meter, d.metrics, d.metricsCloser = meter.New("verbenapier")
+	d.quota = quota.New(quota.Options{
+		Memory: int64(settings.MemoryLimit) << 20, Files: quota.Files(settings.MaxOpenFiles), Log: d.log, Metrics: d.metrics.SubScope("clients"),
+	})
 	d.store, err = plat.NewClient(plat.Options{
 		Addresses: settings.Platform, Transport: dialer.Transport(network.Dial), Scope: d.metrics.SubScope("platform"), Log: d.log,
 	})
@@ -174,8 +176,7 @@
 	d.entry = entry.New(entry.Options{
 		Name: d.settings.Name, Incarnation: d.incarnation, FailureDomain: d.settings.FailureDomain,
 		Limits: entry.Limits{
-			MaxBody: int64(d.settings.MaxBodyBytes), MaxBuffered: maxBufferedBodies * int64(d.settings.MaxBodyBytes),
-			MaxRequests: int64(d.settings.MaxRequests), BodyTimeout: d.settings.ReadTimeout, WriteTimeout: writeTimeout,
+			MaxBody: int64(d.settings.MaxBodyBytes), MaxRequests: int64(d.settings.MaxRequests), BodyTimeout: d.settings.ReadTimeout, WriteTimeout: writeTimeout,
 		},
 		Configuration: documentSource{d.document},
 		Cells:         d.cells,
@@ -187,7 +188,7 @@
 		Directory: &directory{
 			members: d.members.Members, hosts: d.hosts, failureDomain: d.settings.FailureDomain,
 		},
-		Drain: d.drain, Dial: d.network.Dial, Group: d.group, Log: d.log, Metrics: d.metrics.SubScope("entry"),
+		Drain: d.drain, Quota: d.quota, Dial: d.network.Dial, Group: d.group, Log: d.log, Metrics: d.metrics.SubScope("entry"),
 	})
 }
 
@@ -233,6 +234,7 @@
 // leaves, waits for the requests in flight until the drain timeout, and stops. If a
 // part fails it stops within a second.
 func (d *Daemon) Run(ctx context.Context) error {
+	quota.BoundHeap(int64(d.settings.MemoryLimit) << 20)
 	listeners, err := d.listen(ctx)
 	if err != nil {
 		return err
@@ -357,6 +359,7 @@
 		}
 		open = append(open, *port.listener)
 	}
+	l.callers = d.quota.Listener(l.callers)
 	if l.callers, err = d.secureCallers(l.callers); err != nil {
 		return l, err
 	}
@@ -385,14 +388,14 @@
 
 // callerServer returns the HTTP server of the callers' port.
 func (d *Daemon) callerServer() *drain.Server {
-	return drain.NewServer(&http.Server{
+	return drain.NewServer(d.quota.Watch(&http.Server{
 		Handler:           d.entry,
 		MaxHeaderBytes:    d.settings.MaxHeaderBytes,
 		ReadHeaderTimeout: d.settings.ReadTimeout,
 		IdleTimeout:       d.settings.IdleTimeout,
 		// Otherwise net/http itself would answer OPTIONS *.
 		DisableGeneralOptionsHandler: true,
-	})
+	}))
 }
 
 func newRandom() *rand.Rand {
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -18,6 +18,10 @@
 	connectTimeout = time.Second
 	// maxHeadBytes is the maximum size of the head of a response.
 	maxHeadBytes = 64 << 10
+	// ReceiveBuffer is the size of the kernel's buffer for bytes that were received and
+	// not read, in bytes; Linux doubles it. It bounds what answers hold whose callers
+	// do not read them.
+	ReceiveBuffer = 16 << 10
 )
 
 // KeepAlive makes the kernel close connections whose other end does not answer.
--- a/internal/drain/server.go
+++ b/internal/drain/server.go
@@ -43,12 +43,23 @@
 // connKey is the key of the connection in the context of a request.
 type connKey struct{}
 
-// NewServer returns a server. It sets the ConnState and ConnContext hooks of the given
+// NewServer returns a server. It adds to the ConnState and ConnContext hooks of the given
 // one and wraps its handler; the fields must not be changed afterwards.
 func NewServer(server *http.Server) *Server {
 	s := &Server{server: server, conns: map[net.Conn]connState{}}
-	server.ConnState = s.track
-	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	connState, connContext := server.ConnState, server.ConnContext
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		s.track(c, state)
+		if connState != nil {
+			connState(c, state)
+		}
+	}
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, c)
+	}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer s.setAnswered(r.Context())
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -136,12 +136,12 @@
 	s := New(Options{
 		Name: "node", Incarnation: 1, FailureDomain: "near",
 		Limits: Limits{
-			MaxBody: 16 << 20, MaxBuffered: 1 << 30, MaxRequests: 100_000,
+			MaxBody: 16 << 20, MaxRequests: 100_000,
 			BodyTimeout: time.Minute, WriteTimeout: time.Minute,
 		},
 		Configuration: fixedConfig{testDocument()}, Cells: &fixedCells{address: address},
 		Engines: clientEngines{engine.NewClient(transport)}, Quarantine: admitAll{f}, Content: nodeContent{crash.NewTracker()}, Admission: f,
-		Claims: noClaims{}, Directory: f, Drain: drain.New(log), Dial: dialer.TCP, Group: g, Log: log, Metrics: tally.NoopScope,
+		Claims: noClaims{}, Directory: f, Drain: drain.New(log), Quota: newQuota(log, 4<<30), Dial: dialer.TCP, Group: g, Log: log, Metrics: tally.NoopScope,
 	})
 	b.Cleanup(func() {
 		g.Stop()
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -1,14 +1,11 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
@@ -19,81 +16,26 @@
 	deadlineHeader = "X-Request-Deadline"
 )
 
-// readBody reads a request body within the size, memory and time limits. The
-// returned function releases the memory reserved for the body.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, func(), error) {
-	limit := s.options.Limits.MaxBody
-	if r.ContentLength > limit {
-		return nil, nil, fault.New(fault.TooLarge, "the body has %d bytes; allowed are %d", r.ContentLength, limit)
-	}
-	reservation := &bodyReservation{server: s}
-	if err := reservation.grow(max(r.ContentLength, 0)); err != nil {
-		return nil, nil, err
-	}
-	var body bytes.Buffer
-	body.Grow(int(reservation.reserved))
-	source := http.MaxBytesReader(w, r.Body, limit)
-	control := http.NewResponseController(w)
-	// The past time ends the read.
-	stop := s.options.Drain.Before(0, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
-	defer stop()
-	for r.ContentLength < 0 || int64(body.Len()) < r.ContentLength {
-		// Memory for a body of unknown length is reserved as the body arrives.
-		// If the maximum size were reserved at once, a few slow senders could
-		// exhaust the memory, and all other requests would be refused.
-		if int64(body.Len()) >= reservation.reserved {
-			if err := reservation.grow(bodyChunkSize); err != nil {
-				reservation.release()
-				return nil, nil, err
-			}
-		}
-		_, err := io.CopyN(&body, source, min(bodyChunkSize, reservation.reserved-int64(body.Len())))
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			reservation.release()
-			return nil, nil, s.bodyError(err, limit)
-		}
-	}
-	// A deadline in the past would end the context of a request that was read.
-	stop()
-	_ = control.SetReadDeadline(time.Time{})
-	return body.Bytes(), reservation.release, nil
-}
-
-// bodyChunkSize is the number of bytes that are read at a time, and the memory
-// that is reserved at a time for a body of unknown length.
-const bodyChunkSize = 64 << 10
-
-// bodyReservation is the part of the memory for request bodies that is
-// reserved for one body.
-type bodyReservation struct {
-	server   *Server
-	reserved int64
-}
-
-func (b *bodyReservation) grow(size int64) error {
-	if !b.server.bodyMemory.TryAcquire(size) {
-		return fault.New(fault.Overloaded, "host %s has no memory for this request now", b.server.options.Name)
-	}
-	b.reserved += size
-	return nil
-}
-
-func (b *bodyReservation) release() { b.server.bodyMemory.Release(b.reserved) }
+const (
+	// callFactor and promptFactor are what a call of a plain service and a request for
+	// tokens hold for each byte of their bodies. A prompt is held as JSON, as text, and as
+	// the JSON that is sent to its engine, each with the copy from which it is made.
+	callFactor   = 1
+	promptFactor = 6
+)
 
-func (s *Server) bodyError(err error, limit int64) error {
-	var tooLarge *http.MaxBytesError
-	switch {
-	case !s.options.Drain.Fits(0):
-		return errHostStops
-	case errors.As(err, &tooLarge):
-		return fault.New(fault.TooLarge, "the body exceeds %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return fault.New(fault.RequestTimeout, "the body did not arrive in time")
+// readBody reads a request body within the size, memory and time limits. The hold is that
+// of the body.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, factor int64) ([]byte, *quota.Hold, error) {
+	l := s.options.Limits
+	body, hold, err := s.options.Quota.ReadBody(w, r, quota.BodyOptions{Limit: l.MaxBody, Timeout: l.BodyTimeout, Factor: factor, Drain: s.options.Drain})
+	switch fault.KindOf(err) {
+	case fault.HostLeaving:
+		err = errHostStops
+	case fault.Canceled:
+		err = fault.Wrap(fault.Invalid, err, "the body could not be read to its end")
 	}
-	return fault.Wrap(fault.Invalid, err, "the body could not be read to its end")
+	return body, hold, err
 }
 
 // deadlineOf returns the deadline of a request. The time limit counts from the
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -21,12 +21,12 @@
 // generate runs a request that generates tokens and writes its response.
 func (s *Server) generate(w http.ResponseWriter, r *http.Request, caller caller, chat bool) {
 	arrived := time.Now()
-	body, release, err := s.readBody(w, r)
+	body, hold, err := s.readBody(w, r, promptFactor)
 	if err != nil {
 		s.writeError(w, r, err)
 		return
 	}
-	defer release()
+	defer hold.Release()
 	c, out, err := s.prepare(w, r, caller, body, chat, arrived)
 	if err != nil {
 		s.writeError(w, r, err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,12 +14,12 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/drain"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/guard"
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/internal/sched"
 	"github.com/verbenapier/verbenapier/internal/target"
 	"github.com/verbenapier/verbenapier/pkg/confd"
@@ -182,6 +182,8 @@
 	Directory     Directory
 	// Drain holds when the process stops answering.
 	Drain *drain.Drain
+	// Quota bounds what callers make the process hold.
+	Quota *quota.Quota
 	// Dial opens connections to plain upstreams.
 	Dial    dialer.Func
 	Group   *group.Group
@@ -191,10 +193,8 @@
 
 // Limits bounds the resources of this process that callers may use.
 type Limits struct {
-	// MaxBody limits the size of one request body and MaxBuffered that of all
-	// bodies in memory together, in bytes.
-	MaxBody     int64
-	MaxBuffered int64
+	// MaxBody limits the size of one request body, in bytes.
+	MaxBody int64
 	// MaxRequests limits the number of requests in flight.
 	MaxRequests int64
 	// BodyTimeout limits the time for reading a request body.
@@ -211,7 +211,6 @@
 	keys         keyIndex
 	grants       *grantSet
 	plainClient  *http.Client
-	bodyMemory   *semaphore.Weighted
 	inflight     atomic.Int64
 	leaving      atomic.Bool
 	sequence     atomic.Uint64
@@ -234,7 +233,6 @@
 		tokens:      newTokenEstimator(),
 		grants:      newGrantSet(options.Name, options.Incarnation),
 		plainClient: &http.Client{Transport: dialer.Transport(options.Dial), CheckRedirect: returnRedirect},
-		bodyMemory:  semaphore.NewWeighted(options.Limits.MaxBuffered),
 		calls:       map[string]*call{},
 		content:     newContentGate(options.Content),
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -20,6 +20,7 @@
 	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/drain"
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 	"github.com/verbenapier/verbenapier/pkg/group"
@@ -59,14 +60,26 @@
 	return New(Options{
 		Name: "node", Incarnation: 1, FailureDomain: "near",
 		Limits: Limits{
-			MaxBody: 1 << 20, MaxBuffered: 8 << 20, MaxRequests: 1000,
+			MaxBody: 1 << 20, MaxRequests: 1000,
 			BodyTimeout: time.Second, WriteTimeout: time.Second,
 		},
 		Configuration: fixedConfig{doc}, Cells: f, Engines: f, Quarantine: admitAll{f}, Content: nodeContent{crash.NewTracker()}, Admission: f,
-		Claims: noClaims{}, Directory: f, Drain: drain.New(log), Dial: dialer.TCP, Group: g, Log: log, Metrics: tally.NoopScope,
+		Claims: noClaims{}, Directory: f, Drain: drain.New(log), Quota: newQuota(log, 64<<20), Dial: dialer.TCP, Group: g, Log: log, Metrics: tally.NoopScope,
 	})
 }
 
+// newQuota returns the quota of a host with the given memory in bytes.
+func newQuota(log logrus.FieldLogger, memory int64) *quota.Quota {
+	return quota.New(quota.Options{Memory: memory, Files: 1024, Log: log, Metrics: tally.NoopScope})
+}
+
+// requireNothingHeld requires that the memory for bodies and answers was released.
+func requireNothingHeld(t *testing.T, s *Server) {
+	t.Helper()
+	held, _ := s.options.Quota.Held()
+	require.Zero(t, held)
+}
+
 func post(ctx context.Context, s *Server, body string, header map[string]string) *httptest.ResponseRecorder {
 	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/completions", strings.NewReader(body))
 	r.Header.Set("Authorization", "Bearer "+testKey)
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -74,6 +75,7 @@
 	if kind == fault.TooLarge || kind == fault.HostLeaving {
 		header.Set("Connection", "close")
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.Limits.WriteTimeout))
 	w.WriteHeader(response.Status)
 	// A failed write means that the caller has disconnected.
 	_ = json.NewEncoder(w).Encode(newErrorBody(err))
--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -66,7 +66,7 @@
 				w := post(t.Context(), s, tc.body, tc.header)
 				requireError(t, w, tc.wantKind, tc.wantMessage)
 				require.Empty(t, f.startsByPrompt)
-				require.True(t, s.bodyMemory.TryAcquire(s.options.Limits.MaxBuffered), "the memory reserved for the body is released")
+				requireNothingHeld(t, s)
 				require.NoError(t, g.Wait())
 			})
 		})
@@ -106,9 +106,12 @@
 		requireError(t, post(t.Context(), s, valid, nil), fault.Overloaded, "too many")
 		s.inflight.Store(0)
 
-		require.True(t, s.bodyMemory.TryAcquire(s.options.Limits.MaxBuffered))
-		requireError(t, post(t.Context(), s, valid, nil), fault.Overloaded, "memory")
-		s.bodyMemory.Release(s.options.Limits.MaxBuffered)
+		others := s.options.Quota.Hold(t.Context())
+		for others.TryGrow(1 << 10) {
+		}
+		long := `{"model":"m","prompt":"` + strings.Repeat("p", 64<<10) + `","max_tokens":2}`
+		requireError(t, post(t.Context(), s, long, nil), fault.Overloaded, "memory")
+		others.Release()
 
 		requireError(t, post(t.Context(), newServer(g, f, nil), valid, nil), fault.NoConfig, "configuration")
 
@@ -180,12 +183,14 @@
 // reserved all memory for bodies. That happens if the maximum size is reserved
 // for a body of unknown length before any of it has arrived.
 func TestSlowBodiesRefuseNoOthers(t *testing.T) {
+	// Bodies of the maximum size of so many senders are more than the host holds.
+	const slowSenders = 24
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeFleet(1, 1, 0)
 		g := group.New(t.Context())
 		s := newServer(g, f, testDocument())
 		blocked := &blockedBody{make(chan struct{})}
-		for range 3 * s.options.Limits.MaxBuffered / s.options.Limits.MaxBody {
+		for range slowSenders {
 			g.Go("sender", func(ctx context.Context) error {
 				r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/completions", blocked)
 				r.Header.Set("Authorization", "Bearer "+testKey)
@@ -200,7 +205,7 @@
 		require.Equal(t, http.StatusOK, w.Code, w.Body.String())
 		close(blocked.release)
 		require.NoError(t, g.Wait())
-		require.True(t, s.bodyMemory.TryAcquire(s.options.Limits.MaxBuffered))
+		requireNothingHeld(t, s)
 	})
 }
 
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -16,6 +16,7 @@
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/header"
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/internal/target"
 	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -62,12 +63,15 @@
 	target   string
 	body     []byte
 	deadline time.Time
+	// answerHold is the memory of an answer that is read in full.
+	answerHold *quota.Hold
 }
 
 // service routes a call to a plain service.
 func (s *Server) service(w http.ResponseWriter, r *http.Request, caller caller, t target.Target) {
 	arrived := time.Now()
-	p := &plainCall{server: s, caller: caller, request: r}
+	p := &plainCall{server: s, caller: caller, request: r, answerHold: s.options.Quota.Hold(r.Context())}
+	defer p.answerHold.Release()
 	route, err := p.resolve(t)
 	if err != nil {
 		s.writeError(w, r, err)
@@ -77,12 +81,12 @@
 		s.writeError(w, r, err)
 		return
 	}
-	body, release, err := s.readBody(w, r)
+	body, hold, err := s.readBody(w, r, callFactor)
 	if err != nil {
 		s.writeError(w, r, err)
 		return
 	}
-	defer release()
+	defer hold.Release()
 	p.body = body
 	ctx, cancel := context.WithDeadlineCause(r.Context(), p.deadline, errTimeLimit)
 	defer cancel()
@@ -234,14 +238,20 @@
 	return Outcome{}, nil, p.finalError(ctx, err, false)
 }
 
-// readResponse reads a response in full.
+// readResponse reads a response in full. The call has run, so it waits for the memory.
 func (p *plainCall) readResponse(ctx context.Context, resp *http.Response, address string) (Outcome, http.Header, error) {
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxOutcomeBody+1))
-	if err != nil {
+	var memoryErr error
+	body, whole, err := p.answerHold.ReadAll(resp.Body, maxOutcomeBody+1, func(n int64) bool {
+		memoryErr = p.answerHold.Grow(ctx, n)
+		return memoryErr == nil
+	})
+	switch {
+	case err != nil:
 		return Outcome{}, nil, fault.Wrap(fault.UpstreamLost, err, "the answer of service %s broke off", p.service)
-	}
-	if len(body) > maxOutcomeBody {
+	case memoryErr != nil:
+		return Outcome{}, nil, fault.Wrap(fault.UpstreamFailed, memoryErr, "this host has no memory for the answer of service %s", p.service)
+	case !whole:
 		return Outcome{}, nil, fault.New(fault.UpstreamFailed, "the answer of service %s exceeds %d bytes", p.service, maxOutcomeBody)
 	}
 	if err := dialer.VerifyEnd(ctx, p.server.options.Dial, address, resp, len(body) == 0); err != nil {
@@ -279,7 +289,7 @@
 	header.Copy(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
 	control := http.NewResponseController(w)
-	buf := make([]byte, 32<<10)
+	buf := make([]byte, 16<<10)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/verbenapier/verbenapier/internal/meter"
 	"github.com/verbenapier/verbenapier/internal/params"
 	"github.com/verbenapier/verbenapier/internal/place"
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/internal/relay"
 	"github.com/verbenapier/verbenapier/internal/retry"
 	"github.com/verbenapier/verbenapier/internal/wire"
@@ -35,8 +36,12 @@
 	// longer than any limit that operators set, so that a caller never sends a
 	// request on a connection that is being closed.
 	idleTimeout = 5 * time.Minute
-	// headerTimeout bounds the reading of a request header.
+	// headerTimeout bounds the reading of a request header, and requestTimeout that of a
+	// request that nobody reads to its end.
 	headerTimeout  = 10 * time.Second
+	requestTimeout = 20 * time.Second
+	// writeTimeout bounds the answer to a request that is not for an upstream.
+	writeTimeout   = 10 * time.Second
 	maxHeaderBytes = 64 << 10
 	// The platform kills the process at the end of the grace period, and callers do not
 	// count on its last sixth. All requests have their answer, and connections are
@@ -55,11 +60,8 @@
 	// announceTimeout bounds the announcement to the other hosts that this one
 	// leaves.
 	announceTimeout = time.Second
-	// memoryShare is the share of the memory limit above which the garbage
-	// collector runs more often. gcPercent is the growth of the heap, in percent,
-	// that otherwise starts a collection.
-	memoryShare = 0.6
-	gcPercent   = 60
+	// gcPercent is the growth of the heap, in percent, that starts a collection.
+	gcPercent = 60
 )
 
 // Network dials and listens for a gateway.
@@ -89,6 +91,7 @@
 	places     *place.Client
 	relay      *relay.Server
 	drain      *drain.Drain
+	quota      *quota.Quota
 
 	meter        *meter.Meter
 	closeMetrics io.Closer
@@ -116,6 +119,9 @@
 	}
 	var metrics tally.Scope
 	g.meter, metrics, g.closeMetrics = meter.New("verbenapier")
+	g.quota = quota.New(quota.Options{
+		Memory: int64(s.MemoryLimit) << 20, Files: quota.Files(s.MaxOpenFiles), Log: g.log, Metrics: metrics.SubScope("clients"),
+	})
 	g.notices = place.NewNotices(newRandom(), g.log)
 	g.adapter = o.Adapter(AdapterOptions{
 		Store: s.Store, Dial: o.Network.Dial, Notices: g.notices, Metrics: metrics.SubScope("store"), Log: g.log,
@@ -132,7 +138,7 @@
 	})
 	g.places.Register(g.mux)
 	g.relay = relay.New(relay.Options{
-		Codec: g.adapter.Codec, Placer: g.places, Reserver: g.adapter.Reserver, Drain: g.drain, Group: g.group, Table: g.state.Table, ConfigAge: g.feed.Age, UpstreamID: g.state.UpstreamID,
+		Codec: g.adapter.Codec, Placer: g.places, Reserver: g.adapter.Reserver, Drain: g.drain, Quota: g.quota, Group: g.group, Table: g.state.Table, ConfigAge: g.feed.Age, UpstreamID: g.state.UpstreamID,
 		Budget: retry.New(s.RetryRatio, s.RetryAllowance, s.RetryWindow, func() int { return len(g.members.Members()) }),
 		Dial:   o.Network.Dial, Random: newRandom(), Log: g.log, Metrics: metrics.SubScope("relay"),
 	})
@@ -190,7 +196,7 @@
 // hosts, and Run returns after they have moved and the requests in flight have
 // ended, or shortly before the grace period ends.
 func (g *Gateway) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(g.settings.MemoryLimit) * (1 << 20)))
+	quota.BoundHeap(int64(g.settings.MemoryLimit) << 20)
 	debug.SetGCPercent(gcPercent)
 	callers, others, err := g.serve(ctx)
 	if err != nil {
@@ -243,16 +249,22 @@
 		if err != nil {
 			return nil, nil, fault.Wrap(fault.Invalid, err, "cannot listen on %s for %s", port.address, port.name)
 		}
-		server := drain.NewServer(&http.Server{
-			Handler: guard.Handler(g.log, port.name, port.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		config := g.quota.Watch(&http.Server{
+			Handler: guard.Handler(g.log, port.name, port.handler), ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
+			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			// Otherwise net/http itself would answer OPTIONS *.
 			DisableGeneralOptionsHandler: true,
 		})
+		if callers != nil {
+			config.WriteTimeout = writeTimeout
+		}
+		server := drain.NewServer(config)
 		if callers == nil {
 			callers = server
 		} else {
 			others = append(others, server)
 		}
+		listener = g.quota.Listener(listener)
 		g.group.Go(port.name, func(context.Context) error {
 			return fault.Wrap(fault.Internal, server.Serve(listener), "serving %s", port.name)
 		})
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -39,6 +39,9 @@
 	fmt.Fprintf(&b, "verbenapier_log_lines_dropped_total %d\n", g.droppedLines())
 	fmt.Fprintf(&b, "verbenapier_panics_contained_total %d\n", guard.Panics())
 	fmt.Fprintf(&b, "verbenapier_requests_in_flight %d\n", g.relay.InFlight())
+	held, connections := g.quota.Held()
+	fmt.Fprintf(&b, "verbenapier_clients_held_bytes %d\n", held)
+	fmt.Fprintf(&b, "verbenapier_clients_connections %d\n", connections)
 	fmt.Fprintf(&b, "verbenapier_config_age_seconds %g\n", g.feed.Age().Seconds())
 	return b.String()
 }
--- a/internal/params/params_test.go
+++ b/internal/params/params_test.go
@@ -35,7 +35,7 @@
 			require.True(t, e.Rule.Check(reflect.ValueOf(e.Default)), e.Key)
 		}
 	}
-	require.Len(t, Table(), 24, "a field of Settings is missing in the table")
+	require.Len(t, Table(), 26, "a field of Settings is missing in the table")
 }
 
 // Guards against a problem that is not reported, is reported without its
--- a/internal/params/settings.go
+++ b/internal/params/settings.go
@@ -36,6 +36,10 @@
 	// MaxRequests is the maximum number of callers' requests in flight.
 	MaxRequests  int           `json:"max_requests"`
 	DrainTimeout time.Duration `json:"drain_timeout"`
+	// MemoryLimit is the memory available to the process, in MiB.
+	MemoryLimit int `json:"memory_limit_mib"`
+	// MaxOpenFiles is the number of descriptors that the process may have open.
+	MaxOpenFiles int `json:"max_open_files"`
 	// CellEngines is the maximum number of engines in a cell.
 	CellEngines int `json:"cell_engines"`
 	// Insecure turns TLS off; every address must then be a loopback address.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -181,6 +181,7 @@
 	if err != nil {
 		return err
 	}
+	defer b.close()
 	// A rest is not read: the deferred close in exchange discards it.
 	if c.headerSent || b.rest != nil || b.status >= http.StatusInternalServerError && c.route.Repeatable() && c.attempts < c.route.Attempts {
 		return fault.New(fault.UpstreamFailed, "the engine answered with status %d", b.status)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/drain"
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/internal/route"
 	"github.com/verbenapier/verbenapier/internal/target"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -27,9 +28,8 @@
 	r       *http.Request
 	arrived time.Time
 	stage   stage
-	// late is set if the request arrived more than leavingAcceptTime after Leave, and
-	// lateBuffer if its answer may be as large as maxLateBody.
-	late, lateBuffer bool
+	// late is set if the request arrived more than leavingAcceptTime after Leave.
+	late bool
 
 	meta         RequestMeta
 	target       target.Target
@@ -38,6 +38,7 @@
 	service      string
 	organisation route.Organisation
 	body         []byte
+	bodyHold     *quota.Hold
 	// contentKey is the result of content, or zero before its first call.
 	contentKey crash.Content
 	deadline   time.Time
@@ -87,11 +88,9 @@
 	if err := c.refuseWhenLeaving(); err != nil {
 		return err
 	}
-	body, err := s.readBody(c.w, c.r, c.table.MaxBodyBytes())
-	if err != nil {
+	if err := c.readBody(); err != nil {
 		return err
 	}
-	c.body = body
 	ctx, cancel := context.WithDeadlineCause(c.r.Context(), c.deadline, errDeadline)
 	defer cancel()
 	ctx, cancelStop := context.WithCancelCause(ctx)
@@ -239,6 +238,7 @@
 		message = e.Message()
 	}
 	body, _ := json.Marshal(map[string]any{"error": map[string]string{"code": a.Code, "message": message}})
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	c.w.WriteHeader(a.Status)
 	// A failed write means that the caller has disconnected.
 	_, _ = c.w.Write(body)
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -27,6 +27,7 @@
 	if err != nil {
 		return err
 	}
+	defer b.close()
 	a.ended.Outcome = place.Completed
 	return c.writeResponse(b)
 }
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -18,11 +18,13 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/drain"
 	"github.com/verbenapier/verbenapier/internal/place"
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/internal/retry"
 	"github.com/verbenapier/verbenapier/internal/route"
 	"github.com/verbenapier/verbenapier/pkg/group"
@@ -151,7 +153,7 @@
 	log := logrus.New()
 	log.SetOutput(g)
 	server := New(Options{
-		Drain: drain.New(log),
+		Drain: drain.New(log), Quota: newQuota(log),
 		Codec: headerCodec{}, Placer: g.placer, Reserver: g.engines, Group: g.group, Table: func() *route.Table { return table },
 		ConfigAge: func() time.Duration { return 0 }, UpstreamID: func(string) string { return "" },
 		Budget: retry.New(1, 100, time.Minute, func() int { return 1 }),
@@ -167,6 +169,11 @@
 	return g
 }
 
+// newQuota returns the quota of a host.
+func newQuota(log logrus.FieldLogger) *quota.Quota {
+	return quota.New(quota.Options{Memory: 256 << 20, Files: 4096, Log: log, Metrics: tally.NoopScope})
+}
+
 // Write receives the log of the gateway.
 func (g *gateway) Write(p []byte) (int, error) {
 	g.mu.Lock()
--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -11,12 +11,10 @@
 
 const (
 	// leavingAcceptTime is how long after Leave new streams are accepted. Answers to
-	// later calls are buffered up to maxLateBody bytes, those of at most maxLateBuffers
-	// calls at a time: until an answer has begun, a failure can be sent in its place when
-	// the host stops.
+	// later calls are buffered up to maxLateBody bytes: until an answer has begun, a
+	// failure can be sent in its place when the host stops.
 	leavingAcceptTime = 3 * time.Second
 	maxLateBody       = 4 << 20
-	maxLateBuffers    = 8
 	// plainTime is the longest time that a call of a plain service is expected to
 	// take. On a host that stops, calls that take longer may end without the answer of
 	// their upstream.
@@ -43,20 +41,12 @@
 // bufferLimit returns the number of bytes of an answer's body that are read before any
 // are sent to the caller.
 func (c *call) bufferLimit() int64 {
-	c.lateBuffer = c.lateBuffer || c.late && c.server.lateBuffers.TryAcquire(1)
-	if c.lateBuffer {
+	if c.late {
 		return maxLateBody
 	}
 	return maxBufferedBody
 }
 
-// releaseBuffer lets another call have the buffer for late answers.
-func (c *call) releaseBuffer(s *Server) {
-	if c.lateBuffer {
-		s.lateBuffers.Release(1)
-	}
-}
-
 // refuseIfTooLong refuses a request that takes longer than this host serves. A request
 // that may have run cannot be refused.
 func (c *call) refuseIfTooLong(need time.Duration) error {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -14,6 +14,7 @@
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/place"
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
@@ -38,11 +39,17 @@
 	verifyEnd func() error
 	// release ends the attempt whose response has a rest.
 	release func()
+	// hold is the memory of the body.
+	hold *quota.Hold
 }
 
 // close releases what the response holds. A nil response is allowed.
 func (b *bufferedResponse) close() {
-	if b != nil && b.release != nil {
+	if b == nil {
+		return
+	}
+	b.hold.Release()
+	if b.release != nil {
 		b.release()
 	}
 }
@@ -207,22 +214,24 @@
 }
 
 // readResponse reads the response of an upstream into memory, up to bufferLimit bytes of
-// its body.
+// its body, or fewer if there is no memory. The caller closes it.
 func (c *call) readResponse(ctx context.Context, resp *http.Response, u place.Upstream) (*bufferedResponse, error) {
-	limit := c.bufferLimit()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
+	hold := c.server.options.Quota.Hold(c.r.Context())
+	body, whole, err := hold.ReadAll(resp.Body, c.bufferLimit(), hold.TryGrow)
 	if err != nil {
+		hold.Release()
 		return nil, fault.Wrap(fault.UpstreamLost, err, "the answer broke off")
 	}
 	b := &bufferedResponse{
-		header: resp.Header, status: resp.StatusCode, body: body,
+		header: resp.Header, status: resp.StatusCode, body: body, hold: hold,
 		verifyEnd: func() error { return dialer.VerifyEnd(ctx, c.server.options.Dial, u.Address, resp, len(body) == 0) },
 	}
-	if int64(len(body)) == limit {
+	if !whole {
 		b.rest = resp.Body
 		return b, nil
 	}
 	if err := b.verifyEnd(); err != nil {
+		hold.Release()
 		return nil, err
 	}
 	return b, nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,25 +6,22 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/drain"
 	"github.com/verbenapier/verbenapier/internal/guard"
 	"github.com/verbenapier/verbenapier/internal/place"
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/internal/retry"
 	"github.com/verbenapier/verbenapier/internal/route"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -180,6 +177,8 @@
 	Reserver Reserver
 	// Drain holds when the process stops answering.
 	Drain *drain.Drain
+	// Quota bounds what callers make the process hold.
+	Quota *quota.Quota
 	// Group runs work that outlasts a request: the release of reserved memory.
 	Group *group.Group
 	// Table returns the configuration in force, or nil, and ConfigAge the time
@@ -202,10 +201,8 @@
 	started time.Time
 	client  *http.Client
 	metrics metrics
-	// buffers holds copy buffers for reuse, and lateBuffers bounds the calls with a
-	// buffer of maxLateBody bytes.
-	buffers     sync.Pool
-	lateBuffers *semaphore.Weighted
+	// buffers holds copy buffers for reuse.
+	buffers sync.Pool
 
 	// inFlight is the number of requests that are being served, and lastArrival
 	// when the last request arrived, in nanoseconds after started.
@@ -230,9 +227,8 @@
 	}
 	return &Server{
 		options: o, started: time.Now(), random: o.Random, metrics: newMetrics(o.Metrics),
-		client:      &http.Client{Transport: dialer.Transport(dial), CheckRedirect: returnRedirect},
-		buffers:     sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }},
-		lateBuffers: semaphore.NewWeighted(maxLateBuffers),
+		client:  &http.Client{Transport: dialer.Transport(dial), CheckRedirect: returnRedirect},
+		buffers: sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }},
 	}
 }
 
@@ -269,7 +265,7 @@
 	c := &call{server: s, w: w, r: r, arrived: time.Now()}
 	s.stages[stageReading].Add(1)
 	defer func() { s.stages[c.stage].Add(-1) }()
-	defer c.releaseBuffer(s)
+	defer func() { c.bodyHold.Release() }()
 	err := guard.Do(r.Context(), s.options.Log, "request", func(context.Context) error { return c.run() })
 	if fault.Is(err, fault.Internal) {
 		s.metrics.recordPanic()
@@ -291,34 +287,24 @@
 	return refusal{fault.New(kind, format, args...), retryAfter}
 }
 
-// readBody reads the whole request body, up to limit bytes.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readBody reads the request body.
+func (c *call) readBody() (err error) {
+	limit := c.table.MaxBodyBytes()
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	control := http.NewResponseController(w)
-	if r.ContentLength != 0 {
-		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	o := c.server.options
+	c.body, c.bodyHold, err = o.Quota.ReadBody(c.w, c.r, quota.BodyOptions{Limit: limit, Timeout: bodyTimeout, Factor: 1, Drain: o.Drain})
+	switch fault.KindOf(err) {
+	case fault.HostLeaving:
+		return refuseStopping()
+	case fault.RequestTimeout, fault.Overloaded:
+		return refusal{err, busyRetryAfter}
+	case fault.Invalid:
+		// A body that is not framed as announced says nothing of the end of the request.
+		return fault.Wrap(fault.Canceled, err, "the body did not arrive")
 	}
-	// The past time ends the read.
-	stop := s.options.Drain.Before(0, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
-	defer stop()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	// A deadline in the past would end the context of a request that was read.
-	stop()
-	var large *http.MaxBytesError
-	switch {
-	case err != nil && !s.options.Drain.Fits(0):
-		return nil, refuseStopping()
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, refuse(fault.RequestTimeout, busyRetryAfter, "the body did not arrive within %s", bodyTimeout)
-	case errors.As(err, &large):
-		return nil, fault.New(fault.TooLarge, "the body exceeds %d bytes", limit)
-	case err != nil:
-		return nil, fault.Wrap(fault.Canceled, err, "the body did not arrive")
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
+	return err
 }
 
 // pickService picks a service of the route at random by weight.
--- a/internal/relay/stop_test.go
+++ b/internal/relay/stop_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/verbenapier/verbenapier/internal/drain"
+	"github.com/verbenapier/verbenapier/internal/route"
 )
 
 // stoppedWriter announces an immediate stop while the deadline of a body that was read is
@@ -38,12 +39,12 @@
 func TestStopLeavesReadRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := drain.New(logrus.New())
-		s := &Server{options: Options{Drain: d}}
+		s := &Server{options: Options{Drain: d, Quota: newQuota(logrus.New())}}
 		w := &stoppedWriter{ResponseWriter: httptest.NewRecorder(), drain: d}
 		r := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/", strings.NewReader("body"))
-		body, err := s.readBody(w, r, 0)
-		require.NoError(t, err)
-		require.Equal(t, "body", string(body))
+		c := &call{server: s, w: w, r: r, table: route.NewTable(&route.Config{})}
+		require.NoError(t, c.readBody())
+		require.Equal(t, "body", string(c.body))
 		require.Zero(t, w.last, "the connection of a request that was read has a read deadline in the past")
 	})
 }
