dialer: bound what the kernel holds of answers that are not read

Callers saw: a process that ran out of memory ended, when many clients asked for large answers and did not read them. Cause: while a caller does not read, its answer waits on the connection to the upstream, where the kernel takes up to 6 MiB that the process has not read; these bytes count. Change: the receive buffer of connections to upstreams is 16 KiB, as for callers. Why it works: the quota counts this buffer with each connection of a client, which has one answer at a time.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -88,6 +88,10 @@
 				conn, err = dial(ctx, address)
 				return err
 			})
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				// An error means that the connection has ended.
+				_ = tcp.SetReadBuffer(ReceiveBuffer)
+			}
 			return conn, fault.Wrap(fault.Unreachable, err, "cannot connect to %s", address)
 		},
 		DisableKeepAlives:      true,
