entry: decode prompts, messages and their parts one at a time

Callers saw: a process that ran out of memory ended, when many clients sent bodies of legal size with hundreds of thousands of empty messages. Cause: a list of short elements takes up to 30 times its JSON in memory when it is decoded as a whole, more than the quota counts for a body. HTML escapes made a prompt six times as long on its way to the engine. Change: the elements are decoded one at a time, and prompts are sent without escapes. Why it works: what is held beside the body is one element and the prompt.

--- a/emul/system/crowd_test.go
+++ b/emul/system/crowd_test.go
@@ -35,6 +35,8 @@
 	crowdMemory   = 96
 	crowdFiles    = 400
 	reservedFiles = 200
+	// largerMemory holds more of the bodies that grow when they are decoded.
+	largerMemory = 256
 	// crowdHead is a header within the limit.
 	crowdHead = 30 << 10
 	// crowdConnections is the number of clients where the descriptors are few.
@@ -104,9 +106,9 @@
 	return l.Addr().String()
 }
 
-// startLoopback starts a daemon with at most the given number of open files, and waits
-// until it serves.
-func startLoopback(t *testing.T, binary string, files int) *loopback {
+// startLoopback starts a daemon on a machine with the given memory in MiB and number of
+// descriptors, 0 for those of the system, and waits until it serves.
+func startLoopback(t *testing.T, binary string, memory, files int) *loopback {
 	d := &loopback{
 		t: t, group: group.New(context.Background()), logPath: filepath.Join(t.TempDir(), "log"),
 		callers: freeAddress(t), operators: freeAddress(t),
@@ -135,7 +137,7 @@
 	settings := fmt.Sprintf(`{
 		"name": "node", "failure_domain": "d", "platform": ["http://%s"], "insecure": true, "max_body_bytes": %d, "memory_limit_mib": %d,
 		"listen": %q, "peer_listen": %q, "admin_listen": %q,
-	}`, platform, crowdBody, crowdMemory, d.callers, peers, d.operators)
+	}`, platform, crowdBody, memory, d.callers, peers, d.operators)
 	path := filepath.Join(t.TempDir(), "settings.json")
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 	output, err := os.Create(d.logPath)
@@ -255,29 +257,32 @@
 	output, err := build.CombinedOutput()
 	require.NoError(t, err, string(output))
 	type crowdCase struct {
-		clients, files int
-		behaviour      crowd.Behaviour
-		requests       []crowd.Request
+		clients, memory, files int
+		behaviour              crowd.Behaviour
+		requests               []crowd.Request
 	}
 	cases := map[string]crowdCase{}
 	for name, b := range crowd.Behaviours(crowdHead) {
-		cases[name] = crowdCase{crowdClients, 0, b, crowdRequests()}
+		cases[name] = crowdCase{crowdClients, crowdMemory, 0, b, crowdRequests()}
 	}
 	for name, r := range shapedRequests() {
-		cases[name] = crowdCase{crowdClients, 0, crowd.Behaviour{Complete: true}, []crowd.Request{r}}
+		cases[name] = crowdCase{crowdClients, crowdMemory, 0, crowd.Behaviour{Complete: true}, []crowd.Request{r}}
+	}
+	for name, r := range shapedRequests() {
+		cases[name+", more memory"] = crowdCase{crowdClients, largerMemory, 0, crowd.Behaviour{Complete: true}, []crowd.Request{r}}
 	}
 	var orders []crowd.Request
 	for range crowdClients {
 		head := fmt.Sprintf("POST /services/order-desk/orders HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\n", shopKey, uuid.Must(uuid.NewV7()))
 		orders = append(orders, crowd.Request{Head: head, Body: []byte("x")})
 	}
-	cases["answers that are not read"] = crowdCase{crowdClients, 0, crowd.Behaviour{Complete: true}, orders}
-	cases["few descriptors"] = crowdCase{crowdConnections, crowdFiles, crowd.Behaviour{Silent: true}, orders}
-	cases["few descriptors, kept connections"] = crowdCase{crowdConnections, crowdFiles, crowd.Behaviour{Complete: true}, []crowd.Request{{Head: "GET /none HTTP/1.1\r\nHost: a\r\n"}}}
-	cases["few descriptors, refused bodies"] = crowdCase{crowdConnections, crowdFiles, crowd.Behaviour{}, []crowd.Request{{Head: "POST /none HTTP/1.1\r\nHost: a\r\n", Body: make([]byte, 1000)}}}
+	cases["answers that are not read"] = crowdCase{crowdClients, crowdMemory, 0, crowd.Behaviour{Complete: true}, orders}
+	cases["few descriptors"] = crowdCase{crowdConnections, crowdMemory, crowdFiles, crowd.Behaviour{Silent: true}, orders}
+	cases["few descriptors, kept connections"] = crowdCase{crowdConnections, crowdMemory, crowdFiles, crowd.Behaviour{Complete: true}, []crowd.Request{{Head: "GET /none HTTP/1.1\r\nHost: a\r\n"}}}
+	cases["few descriptors, refused bodies"] = crowdCase{crowdConnections, crowdMemory, crowdFiles, crowd.Behaviour{}, []crowd.Request{{Head: "POST /none HTTP/1.1\r\nHost: a\r\n", Body: make([]byte, 1000)}}}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			d := startLoopback(t, binary, tc.files)
+			d := startLoopback(t, binary, tc.memory, tc.files)
 			defer d.close()
 			meter := crowd.Watch(t.Context(), d.process)
 			clients, err := crowd.Play(t.Context(), d.callers, tc.clients, tc.behaviour, tc.requests...)
@@ -290,7 +295,7 @@
 			peak, err := meter.Peak()
 			require.NoError(t, err)
 			t.Logf("at most %d MiB and %d sockets", peak.Memory>>20, peak.Sockets)
-			require.LessOrEqual(t, peak.Memory, int64(crowdMemory<<20))
+			require.LessOrEqual(t, peak.Memory, int64(tc.memory)<<20)
 			if tc.files > 0 {
 				require.LessOrEqual(t, peak.Sockets, crowdFiles-reservedFiles)
 			}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -89,11 +89,14 @@
 }
 
 func (c *Client) post(ctx context.Context, address, path string, body any) (*http.Response, error) {
-	data, err := json.Marshal(body)
-	if err != nil {
+	var data bytes.Buffer
+	encoder := json.NewEncoder(&data)
+	// Escapes for HTML would make some prompts six times as long.
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(body); err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "encoding a request to %s", path)
 	}
-	req, err := newRequest(ctx, http.MethodPost, address, path, data)
+	req, err := newRequest(ctx, http.MethodPost, address, path, data.Bytes())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -47,6 +47,7 @@
 		"text messages":   {body: `{"model":"m","messages":"hello"}`, wantKind: fault.Invalid, wantMessage: "messages is a JSON string; it must be a JSON array"},
 		"text length":     {body: `{"model":"m","prompt":"p","max_tokens":"9"}`, wantKind: fault.Invalid, wantMessage: "max_tokens is a JSON string; it must be a JSON number"},
 		"empty prompt":    {body: `{"model":"m","prompt":""}`, wantKind: fault.Invalid, wantMessage: "prompt"},
+		"two prompts":     {body: `{"model":"m","prompt":["p","q"]}`, wantKind: fault.Invalid, wantMessage: "prompt"},
 		"number prompt":   {body: `{"model":"m","prompt":7}`, wantKind: fault.Invalid, wantMessage: "prompt"},
 		"two answers":     {body: `{"model":"m","prompt":"p","n":2}`, wantKind: fault.Invalid, wantMessage: "n is 2"},
 		"negative length": {body: `{"model":"m","prompt":"p","max_tokens":-1}`, wantKind: fault.Invalid, wantMessage: "max_tokens"},
@@ -147,6 +148,11 @@
 			`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"p"}]}],"max_tokens":1}`,
 			`"message":{"role":"assistant","content":"<user: p\n/0>"}`,
 		},
+		"messages and parts, a repeated key": {
+			"/v1/chat/completions",
+			`{"model":"m","messages":[{"role":"a"}],"messages":[{"role":"user","content":[{"type":"text","text":"p"},{"type":"text","text":"q"}]},{"role":"b","content":"r"}],"max_tokens":1}`,
+			`"message":{"role":"assistant","content":"<user: pq\nb: r\n/0>"}`,
+		},
 		"chat stream with usage": {
 			"/v1/chat/completions",
 			`{"model":"m","messages":[{"role":"user","content":"p"}],"max_tokens":1,"stream":true,"stream_options":{"include_usage":true}}`,
--- a/internal/entry/openai.go
+++ b/internal/entry/openai.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -23,7 +24,7 @@
 type completionRequest struct {
 	Model               string          `json:"model"`
 	Prompt              json.RawMessage `json:"prompt"`
-	Messages            []chatMessage   `json:"messages"`
+	Messages            chatMessages    `json:"messages"`
 	MaxTokens           *int            `json:"max_tokens"`
 	MaxCompletionTokens *int            `json:"max_completion_tokens"`
 	Stream              bool            `json:"stream"`
@@ -96,34 +97,67 @@
 	if json.Unmarshal(r.Prompt, &text) == nil && text != "" {
 		return text, nil
 	}
-	var list []string
-	if json.Unmarshal(r.Prompt, &list) == nil && len(list) == 1 && list[0] != "" {
-		return list[0], nil
+	count := 0
+	err := eachElement(r.Prompt, func(s string) error {
+		text = s
+		if count++; count > 1 {
+			return errManyPrompts
+		}
+		return nil
+	})
+	if err == nil && count == 1 && text != "" {
+		return text, nil
 	}
 	return "", fault.New(fault.Invalid, "prompt must be a non-empty string or a list of one such string")
 }
 
-// chatPrompt returns the messages of a chat as one prompt, with a line per
-// message.
+// errManyPrompts ends the decoding of a list of prompts.
+var errManyPrompts = errors.New("more than one prompt")
+
+// chatPrompt returns the messages of a chat as one prompt.
 func (r *completionRequest) chatPrompt() (string, error) {
-	if len(r.Messages) == 0 {
+	if r.Messages.count == 0 {
 		return "", fault.New(fault.Invalid, "messages is empty")
 	}
-	var prompt strings.Builder
-	for i, m := range r.Messages {
-		text, err := m.text()
-		if err != nil {
-			return "", fault.Wrap(fault.Invalid, err, "messages[%d]", i)
-		}
-		if m.Role == "" {
-			return "", fault.New(fault.Invalid, "messages[%d].role is missing", i)
-		}
-		prompt.WriteString(m.Role)
-		prompt.WriteString(": ")
-		prompt.WriteString(text)
-		prompt.WriteByte('\n')
+	return r.Messages.prompt.String(), r.Messages.err
+}
+
+// chatMessages are the messages of a chat, as one prompt with a line per message. They
+// are decoded one at a time: a list of many short ones takes many times its JSON.
+type chatMessages struct {
+	prompt strings.Builder
+	count  int
+	// err is the first fault of a message that is valid JSON.
+	err error
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *chatMessages) UnmarshalJSON(data []byte) error {
+	*m = chatMessages{}
+	err := eachElement(data, func(message chatMessage) error {
+		m.err = m.add(message)
+		m.count++
+		return m.err
+	})
+	if m.err != nil {
+		// It counts only for requests that need the messages.
+		return nil
+	}
+	return err
+}
+
+func (m *chatMessages) add(message chatMessage) error {
+	text, err := message.text()
+	if err != nil {
+		return fault.Wrap(fault.Invalid, err, "messages[%d]", m.count)
 	}
-	return prompt.String(), nil
+	if message.Role == "" {
+		return fault.New(fault.Invalid, "messages[%d].role is missing", m.count)
+	}
+	for _, part := range []string{message.Role, ": ", text, "\n"} {
+		m.prompt.WriteString(part)
+	}
+	return nil
 }
 
 // text returns the text of a message, which is a string or a list of parts.
@@ -132,21 +166,59 @@
 	if json.Unmarshal(m.Content, &text) == nil {
 		return text, nil
 	}
-	var parts []struct {
+	type contentPart struct {
 		Type string `json:"type"`
 		Text string `json:"text"`
 	}
-	if err := json.Unmarshal(m.Content, &parts); err != nil {
-		return "", fault.New(fault.Invalid, "content must be a string or a list of text parts")
-	}
 	var joined strings.Builder
-	for _, p := range parts {
+	err := eachElement(m.Content, func(p contentPart) error {
 		if p.Type != "text" {
-			return "", fault.New(fault.Invalid, "content of type %q is not supported", p.Type)
+			return fault.New(fault.Invalid, "content of type %q is not supported", p.Type)
 		}
 		joined.WriteString(p.Text)
+		return nil
+	})
+	var known *fault.Error
+	if err != nil && !errors.As(err, &known) {
+		err = fault.New(fault.Invalid, "content must be a string or a list of text parts")
+	}
+	return joined.String(), err
+}
+
+// eachElement decodes the elements of a JSON array one after another and calls fn with
+// each, until fn returns an error. Null is an empty array.
+func eachElement[T any](data []byte, fn func(T) error) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	begin, err := decoder.Token()
+	if err != nil || begin == nil {
+		return err
+	}
+	if begin != json.Delim('[') {
+		return &json.UnmarshalTypeError{Value: tokenType(begin), Type: reflect.TypeFor[[]T]()}
+	}
+	for decoder.More() {
+		var element T
+		if err := decoder.Decode(&element); err != nil {
+			return err
+		}
+		if err := fn(element); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// tokenType returns the JSON type of a value that begins with a token.
+func tokenType(t json.Token) string {
+	switch t.(type) {
+	case string:
+		return "string"
+	case bool:
+		return "bool"
+	case float64:
+		return "number"
 	}
-	return joined.String(), nil
+	return "object"
 }
 
 // serviceOf returns the first engine service, by name, that serves a model and
