entry: count long answers towards the quota

Callers saw: nothing yet; found by looking for the cause on related paths. Cause: the pieces of an answer are kept for a resumption, up to 65,536 tokens of some 64 bytes for each request, whatever the machine has. Change: memory for them is reserved from the quota, 256 pieces at a time. An answer for which there is none breaks off as failed, since it has run. Evidence: TestLongAnswerWithoutMemory gets 200 in place of the refusal without the reservation. Why it works: the pieces count like the body of their request, and are given back with it.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/verbenapier/verbenapier/internal/guard"
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/internal/sched"
 	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -59,6 +60,8 @@
 	// pieces are the parts of the generated text that were sent to the caller
 	// so far, one token each.
 	pieces []string
+	// hold is the memory of the prompt and of the pieces.
+	hold *quota.Hold
 	// dispatched is true once an engine may have started the request.
 	dispatched bool
 	// avoid lists the engines on which earlier attempts failed.
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -32,6 +32,7 @@
 		s.writeError(w, r, err)
 		return
 	}
+	c.hold = hold
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errTimeLimit)
 	defer cancel()
 	ctx, cancel = s.options.Drain.Context(ctx, 0)
--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -125,6 +126,25 @@
 	})
 }
 
+// Guards against long answers that fill the memory: one that the host cannot hold breaks
+// off, and what it has held is given back.
+func TestLongAnswerWithoutMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := group.New(t.Context())
+		s := newServer(g, newFakeFleet(1, 1, 0), testDocument())
+		others := s.options.Quota.Hold(t.Context())
+		for others.TryGrow(1 << 10) {
+		}
+		body := func(tokens int) string { return fmt.Sprintf(`{"model":"m","prompt":"p","max_tokens":%d}`, tokens) }
+		require.Equal(t, http.StatusOK, post(t.Context(), s, body(pieceBatch), nil).Code)
+		requireError(t, post(t.Context(), s, body(pieceBatch+1), nil), fault.UpstreamFailed, "memory")
+		others.Release()
+		require.Equal(t, http.StatusOK, post(t.Context(), s, body(3*pieceBatch), nil).Code)
+		requireNothingHeld(t, s)
+		require.NoError(t, g.Wait())
+	})
+}
+
 // Guards against an address list without its lifetime or in the wrong order.
 func TestAddresses(t *testing.T) {
 	f := newFakeFleet(1, 1, 0)
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -17,6 +17,13 @@
 // connection was lost.
 const maxResumeAttempts = 3
 
+// Pieces are kept for a resumption. Their memory is reserved for pieceBatch of them at a
+// time, of pieceMemory bytes each; the first batch is held with the connection.
+const (
+	pieceBatch  = 256
+	pieceMemory = 64
+)
+
 // finishLength is the finish reason of output that reached its token limit.
 const finishLength = "length"
 
@@ -58,7 +65,7 @@
 	// idle is the number of connections in a row that delivered no new frame.
 	for idle := 0; ; {
 		before := t.nextSeq
-		done, err := t.copyFrames(reader)
+		done, err := t.copyFrames(ctx, reader)
 		reader.Close()
 		if done || !fault.Is(err, fault.UpstreamLost) {
 			return err
@@ -144,7 +151,7 @@
 
 // copyFrames copies frames to the caller until the stream ends. done is true
 // after the last frame.
-func (t *transfer) copyFrames(reader Frames) (done bool, err error) {
+func (t *transfer) copyFrames(ctx context.Context, reader Frames) (done bool, err error) {
 	for {
 		f, err := reader.Next()
 		if err != nil {
@@ -163,7 +170,7 @@
 			return false, fault.New(fault.UpstreamFailed, "engine %s reported an error", t.grant.Engine)
 		}
 		if f.Text != "" {
-			if err := t.deliver(f.Text); err != nil {
+			if err := t.deliver(ctx, f.Text); err != nil {
 				return false, err
 			}
 		}
@@ -175,8 +182,13 @@
 }
 
 // deliver sends a piece of text to the caller.
-func (t *transfer) deliver(piece string) error {
+func (t *transfer) deliver(ctx context.Context, piece string) error {
 	c := t.call
+	if n := len(c.pieces); n > 0 && n%pieceBatch == 0 {
+		if err := c.hold.Grow(ctx, pieceBatch*pieceMemory); err != nil {
+			return fault.Wrap(fault.UpstreamFailed, err, "this host has no memory for a longer answer")
+		}
+	}
 	if t.firstPieceAt.IsZero() {
 		t.firstPieceAt = time.Now()
 		c.server.content.answered(t)
