wire: pause while no connection can be accepted

Callers saw: nothing yet; found by looking for the cause on related paths. Cause: without a free descriptor, accepting a peer's connection failed at once and was tried again at once, with a log line each time. Change: a pause of 50 ms after a failure. Evidence: TestAcceptWithoutDescriptors ran into its time limit before; in virtual time no time passed. Why it works: at most 20 attempts a second.

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -22,6 +22,9 @@
 const (
 	// handshakeTimeout bounds the TLS handshake of a new connection.
 	handshakeTimeout = 3 * time.Second
+	// acceptPause is the time between attempts to accept a connection while that fails,
+	// such as without a free descriptor.
+	acceptPause = 50 * time.Millisecond
 	// maxCallTimeout bounds the timeout that a peer gives with a call.
 	maxCallTimeout = time.Hour
 	// maxCallsPerConn bounds the calls that one connection has in flight.
@@ -68,6 +71,7 @@
 				return err
 			}
 			s.log.WithError(err).WithField("event", "peer_accept_failed").Warn("accepting a peer connection failed")
+			group.Sleep(ctx, acceptPause)
 			continue
 		}
 		s.group.Go("wire connection", guard.Task(s.log, "peer connection", func(context.Context) error {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"math"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -255,3 +257,31 @@
 		require.NoError(t, g.Wait())
 	})
 }
+
+// failingListener has no descriptor for a connection.
+type failingListener struct {
+	*pipes
+	attempts atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	l.attempts.Add(1)
+	return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+}
+
+// Guards against a server that takes a whole processor and fills the log while the
+// process has no free descriptor.
+func TestAcceptWithoutDescriptors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := group.New(t.Context())
+		listener := &failingListener{pipes: newPipes()}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		server := NewServer(g, NewMux(), nil, log)
+		g.Go("serve", func(ctx context.Context) error { return server.Serve(ctx, listener) })
+		time.Sleep(10 * acceptPause)
+		g.Stop()
+		require.NoError(t, g.Wait())
+		require.LessOrEqual(t, listener.attempts.Load(), int64(12))
+	})
+}
