--- a/internal/gate/loops_test.go
+++ b/internal/gate/loops_test.go
@@ -228,7 +228,7 @@
 	g.Gateway = New(Options{
 		Settings: params.Gateway{
 			Name: "n1", FailureDomain: "d", Listen: "callers", ReadyListen: "ready", PeerListen: "peers", DirectoryListen: "directory",
-			MetricsListen: "metrics", Advertise: "callers", PeerAdvertise: "peers", Seeds: []string{"faulty"}, Store: "store", MemoryLimit: 1024, ProcessorShare: 1,
+			MetricsListen: "metrics", Advertise: "callers", PeerAdvertise: "peers", Seeds: []string{"faulty"}, Store: "store", MemoryLimit: 1024, MaxOpenFiles: 4096, ProcessorShare: 1,
 			GracePeriod: 3 * time.Second, AddressLifetime: 100 * time.Millisecond, RetryRatio: 1, RetryAllowance: 100, RetryWindow: time.Minute,
 		},
 		Network: g, Adapter: platform.adapter, Log: log, DroppedLines: func() uint64 { return 0 },
