relay: answers to late calls of a planned stop are whole or refused

Cause: an answer that filled its buffer was passed on, whatever was left of the grace period. Change: such an answer is sent only as a whole. Its memory is reserved when the call arrives; without it the call is refused as not run. Why it works: nothing is begun that the end of the process may cut.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -28,8 +28,10 @@
 	r       *http.Request
 	arrived time.Time
 	stage   stage
-	// late is set if the request arrived more than leavingAcceptTime after Leave.
-	late bool
+	// late is set if the request arrived more than leavingAcceptTime after Leave, and
+	// lateHold is then the memory of its answer.
+	late     bool
+	lateHold *quota.Hold
 
 	meta         RequestMeta
 	target       target.Target
--- a/internal/relay/leave.go
+++ b/internal/relay/leave.go
@@ -2,19 +2,23 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/verbenapier/verbenapier/internal/place"
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
 const (
 	// leavingAcceptTime is how long after Leave new streams are accepted. Answers to
-	// later calls are buffered up to maxLateBody bytes: until an answer has begun, a
-	// failure can be sent in its place when the host stops.
+	// later calls are sent only if they are whole, up to maxLateBody bytes: until an
+	// answer has begun, a failure can be sent in its place when the host stops.
 	leavingAcceptTime = 3 * time.Second
 	maxLateBody       = 4 << 20
+	// lateMemory is the memory of a late answer while its buffer grows, in bytes.
+	lateMemory = maxLateBody * 3 / 2
 	// plainTime is the longest time that a call of a plain service is expected to
 	// take. On a host that stops, calls that take longer may end without the answer of
 	// their upstream.
@@ -28,23 +32,28 @@
 }
 
 // refuseWhenLeaving refuses requests that arrive so late that they might not end before
-// this host stops.
+// this host stops. A late call needs memory for its whole answer.
 func (c *call) refuseWhenLeaving() error {
 	since := c.server.leavingSince.Load()
 	c.late = since != nil && time.Since(*since) > leavingAcceptTime
-	if c.late && c.route.Stream {
+	if c.late && (c.route.Stream || !c.lateHold.TryGrow(lateMemory)) {
 		return refuseStopping()
 	}
 	return c.refuseIfTooLong(c.runTime())
 }
 
-// bufferLimit returns the number of bytes of an answer's body that are read before any
-// are sent to the caller.
-func (c *call) bufferLimit() int64 {
-	if c.late {
-		return maxLateBody
+// readAnswer reads the body of an answer into memory: that of a late call as a whole, others
+// up to maxBufferedBody bytes, or fewer if there is no memory.
+func (c *call) readAnswer(body io.Reader, hold *quota.Hold) (data []byte, whole bool, err error) {
+	if !c.late {
+		return hold.ReadAll(body, maxBufferedBody, hold.TryGrow)
 	}
-	return maxBufferedBody
+	reserved := func(int64) bool { return true }
+	data, whole, err = hold.ReadAll(body, maxLateBody, reserved)
+	if err == nil && !whole {
+		err = fault.New(fault.HostStopped, "this host stops, and the answer exceeds the %d bytes that it holds", maxLateBody)
+	}
+	return data, whole, err
 }
 
 // refuseIfTooLong refuses a request that takes longer than this host serves. A request
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -83,7 +83,7 @@
 		if err != nil && fault.Is(err, fault.Unreachable) {
 			continue
 		}
-		if c.dispatched && !c.route.Repeatable() || !c.nextAttempt() {
+		if c.dispatched && !c.route.Repeatable() || fault.Is(err, fault.HostStopped) || !c.nextAttempt() {
 			break
 		}
 	}
@@ -113,6 +113,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return c.contextError(ctx)
+	case fault.Is(lastErr, fault.HostStopped):
+		return lastErr
 	case c.dispatched:
 		return fault.Wrap(fault.UpstreamLost, lastErr, "an upstream was lost and the request could not be run again")
 	case lastErr == nil:
@@ -213,13 +215,16 @@
 	return nil
 }
 
-// readResponse reads the response of an upstream into memory, up to bufferLimit bytes of
-// its body, or fewer if there is no memory. The caller closes it.
+// readResponse reads the response of an upstream into memory, see readAnswer. The caller
+// closes it.
 func (c *call) readResponse(ctx context.Context, resp *http.Response, u place.Upstream) (*bufferedResponse, error) {
 	hold := c.server.options.Quota.Hold(c.r.Context())
-	body, whole, err := hold.ReadAll(resp.Body, c.bufferLimit(), hold.TryGrow)
+	body, whole, err := c.readAnswer(resp.Body, hold)
 	if err != nil {
 		hold.Release()
+		if fault.Is(err, fault.HostStopped) {
+			return nil, err
+		}
 		return nil, fault.Wrap(fault.UpstreamLost, err, "the answer broke off")
 	}
 	b := &bufferedResponse{
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -262,10 +262,13 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	s.lastArrival.Store(int64(time.Since(s.started)))
-	c := &call{server: s, w: w, r: r, arrived: time.Now()}
+	c := &call{server: s, w: w, r: r, arrived: time.Now(), lateHold: s.options.Quota.Hold(r.Context())}
 	s.stages[stageReading].Add(1)
 	defer func() { s.stages[c.stage].Add(-1) }()
-	defer func() { c.bodyHold.Release() }()
+	defer func() {
+		c.bodyHold.Release()
+		c.lateHold.Release()
+	}()
 	err := guard.Do(r.Context(), s.options.Log, "request", func(context.Context) error { return c.run() })
 	if fault.Is(err, fault.Internal) {
 		s.metrics.recordPanic()
