crash: what most requests share needs more evidence for a quarantine

Cause: right after a start no part counts as answered, and two ends on different requests put the part that all of them have into quarantine alone. How many requests a quarantine keeps out played no part. Change: a part that at least half of the last 64 different requests have needs three different requests; a request that ended two engines meanwhile is quarantined by itself. TestCrashing*, TestSoundPartsBesideFaults and TestOverlappingFaults pass. Why it works: until the third request, those with the part run one at a time, and the first sound one clears it. A common part that does end engines ends three, one more than a rare one; a request still ends two.

--- a/internal/crash/content.go
+++ b/internal/crash/content.go
@@ -40,6 +40,14 @@
 	Shared []Part `json:"shared,omitempty"`
 }
 
+// id identifies the request: by the whole, or by the longest part of its prompt.
+func (c Content) id() Part {
+	if c.Whole != 0 || len(c.Shared) == 0 {
+		return c.Whole
+	}
+	return c.Shared[len(c.Shared)-1]
+}
+
 // parts returns a new slice of all parts of the content.
 func (c Content) parts() []Part {
 	parts := slices.Clone(c.Shared)
--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -18,6 +18,15 @@
 	// One that was answered before is suspected after endsOfKnown ends without an
 	// answer between them, since most such ends have another cause.
 	endsOfKnown = 3
+	// A part that at least half of the last recentContents requests have is common. It is
+	// quarantined only when endsOfCommon different requests have ended engines since it
+	// was last answered: two may do so by what is their own, and all requests would be
+	// refused.
+	recentContents = 64
+	endsOfCommon   = 3
+	// endsOfOwn is the number of ends after which a request whose common parts are not
+	// quarantined is quarantined by itself.
+	endsOfOwn = 2
 	// suspectTime is how long a part is suspected after the last end of an engine.
 	suspectTime = 5 * time.Minute
 	// minQuarantine is the length of the first quarantine of a part. Each further
@@ -40,6 +49,8 @@
 	// engines are the processes that ended on the part since it was last answered.
 	engines []string
 	endedAt time.Time
+	// requests are the requests on which these processes ended.
+	requests []Part
 	// answered is set once a request with the part began to be answered.
 	answered bool
 }
@@ -57,6 +68,10 @@
 type Tracker struct {
 	mu      sync.Mutex
 	records *simplelru.LRU[Part, *record]
+	// recent holds the requests that were checked last, each once, and next is the index
+	// of the oldest.
+	recent []Content
+	next   int
 	// quarantines are by Key. Those that ended are kept for maxQuarantine.
 	quarantines map[string]Quarantine
 	// refuted holds the quarantines with parts that turned out to be sound, by key.
@@ -82,6 +97,7 @@
 func (t *Tracker) Check(c Content) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.remember(c)
 	now := time.Now()
 	var v Verdict
 	for _, q := range t.quarantines {
@@ -93,6 +109,50 @@
 	return v
 }
 
+// remember adds a request to the recent ones. The caller holds mu.
+func (t *Tracker) remember(c Content) {
+	id := c.id()
+	if slices.ContainsFunc(t.recent, func(other Content) bool { return other.id() == id }) {
+		return
+	}
+	if len(t.recent) < recentContents {
+		t.recent = append(t.recent, c)
+		return
+	}
+	t.recent[t.next] = c
+	t.next = (t.next + 1) % recentContents
+}
+
+// common reports whether at least half of the recent requests have all of the parts. The
+// caller holds mu.
+func (t *Tracker) common(parts []Part) bool {
+	count := 0
+	for _, c := range t.recent {
+		if c.covers(parts) {
+			count++
+		}
+	}
+	return 2*count >= len(t.recent)
+}
+
+// proved reports whether enough different requests have ended engines for a quarantine of
+// the parts. The caller holds mu.
+func (t *Tracker) proved(parts []Part) bool {
+	if !t.common(parts) {
+		return true
+	}
+	return !slices.ContainsFunc(parts, func(p Part) bool { return len(t.record(p).requests) < endsOfCommon })
+}
+
+// own returns the request as a whole as the one suspect if it has ended engines before. The
+// caller holds mu.
+func (t *Tracker) own(c Content) []Part {
+	if c.Whole == 0 || len(t.record(c.Whole).engines) < endsOfOwn {
+		return nil
+	}
+	return []Part{c.Whole}
+}
+
 // suspects returns the suspected parts of a request on which most engines ended. The
 // others were only present when some of these engines ended. The caller holds mu.
 func (t *Tracker) suspects(c Content, now time.Time) []Part {
@@ -142,6 +202,9 @@
 		if !slices.Contains(r.engines, report.Engine) && len(r.engines) < maxEngines {
 			r.engines = append(r.engines, report.Engine)
 		}
+		if id := report.Content.id(); !slices.Contains(r.requests, id) && len(r.requests) < maxEngines {
+			r.requests = append(r.requests, id)
+		}
 	}
 	t.expire(now)
 	suspects := slices.DeleteFunc(slices.Clone(report.Suspects), func(p Part) bool {
@@ -149,6 +212,9 @@
 		// suspected because engines ended before that.
 		return !slices.Contains(parts, p) || report.Begun && !t.record(p).suspected(now)
 	})
+	if !slices.Contains(suspects, report.Content.Whole) && !t.proved(suspects) {
+		suspects = t.own(report.Content)
+	}
 	if len(suspects) == 0 {
 		return Quarantine{}, false
 	}
@@ -189,7 +255,7 @@
 	defer t.mu.Unlock()
 	for _, p := range c.Shared {
 		r := t.record(p)
-		r.engines, r.answered = nil, true
+		r.engines, r.requests, r.answered = nil, nil, true
 	}
 	if r, ok := t.records.Peek(c.Whole); ok {
 		r.answered = true
