relay, entry: split what the linter found too complex or unclear

Cause: scripts/lint.sh found runPlain over the bound on complexity, and an error that was dropped by an early return of nil. Change: the decision to send again is a method; the return of UnmarshalJSON says when a fault of a message counts.

--- a/internal/entry/openai.go
+++ b/internal/entry/openai.go
@@ -139,11 +139,11 @@
 		m.count++
 		return m.err
 	})
-	if m.err != nil {
-		// It counts only for requests that need the messages.
-		return nil
+	if m.err == nil {
+		return err
 	}
-	return err
+	// A fault of a message counts only for requests that need the messages.
+	return nil
 }
 
 func (m *chatMessages) add(message chatMessage) error {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -83,7 +83,7 @@
 		if err != nil && fault.Is(err, fault.Unreachable) {
 			continue
 		}
-		if c.dispatched && !c.route.Repeatable() || fault.Is(err, fault.HostStopped) || !c.nextAttempt() {
+		if !c.mayResend(err) {
 			break
 		}
 	}
@@ -93,6 +93,12 @@
 	return c.finalError(ctx, lastErr)
 }
 
+// mayResend reports whether the request may be sent to another upstream after an attempt
+// that ended with an answer or an error. It takes a retry from the budget if one is needed.
+func (c *call) mayResend(err error) bool {
+	return (!c.dispatched || c.route.Repeatable()) && !fault.Is(err, fault.HostStopped) && c.nextAttempt()
+}
+
 // acquirePlain asks for an upstream of a plain service.
 func (c *call) acquirePlain(ctx context.Context) (place.Verdict, error) {
 	if err := c.refuseIfTooLong(c.runTime()); err != nil {
