gate: hosts that know no other meet through the store

Cause: a host joined others through the seeds of its start alone. Change: a host that has known no other for 1.5 s announces its address in the store while it is alone, and all hosts join those that announce themselves. SIGHUP takes over changed seeds. Why it works: every host follows the store, so whoever is alone reaches all others that do, whatever its settings say.

--- a/cmd/verbenapier-gateway/main.go
+++ b/cmd/verbenapier-gateway/main.go
@@ -69,7 +69,7 @@
 		for {
 			select {
 			case <-hangups:
-				guard.Run(log, "reload", func() { reload(log) })
+				guard.Run(log, "reload", func() { reload(g, log) })
 			case <-ctx.Done():
 				return nil
 			}
@@ -91,14 +91,15 @@
 	return log
 }
 
-// reload reads and checks the settings file that the environment names. A changed
-// log level takes effect at once, all other settings at the next start.
-func reload(log *logrus.Logger) {
+// reload reads and checks the settings file that the environment names. A changed log
+// level and changed seeds take effect at once, all other settings at the next start.
+func reload(g *gate.Gateway, log *logrus.Logger) {
 	settings, err := params.ReadGateway(os.Getenv(params.FileVariable))
 	if err != nil {
 		log.WithError(err).WithField("event", "reload_failed").Error("the settings file is refused; the current settings stay in force")
 		return
 	}
 	launch.SetLevel(log, settings.LogLevel)
+	g.Reload(settings)
 	log.WithFields(logrus.Fields{"event": "reloaded", "log_level": settings.LogLevel}).Info("the settings were read again")
 }
--- a/internal/gate/adapter.go
+++ b/internal/gate/adapter.go
@@ -4,6 +4,7 @@
 package gate
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -41,6 +42,10 @@
 	// DecodeQuarantine decodes a quarantine; ok is false if the key is not that of a
 	// quarantine.
 	DecodeQuarantine func(key string, data []byte) (q crash.Quarantine, ok bool, err error)
+	// Meeting lets gateways that know no other be found. DecodeGateway decodes the
+	// address that one has announced; ok is false if the key is not that of a gateway.
+	Meeting       Meeting
+	DecodeGateway func(key string, data []byte) (address string, ok bool, err error)
 	// DecodeDocument decodes the operators' configuration document; ok is false if
 	// the key is not that of the document.
 	DecodeDocument func(key string, data []byte) (c *route.Config, ok bool, err error)
@@ -53,6 +58,13 @@
 	Ready     func(d Directory) http.Handler
 }
 
+// Meeting is where gateways that know no other leave their addresses.
+type Meeting interface {
+	// Announce leaves the peer address of a gateway for a time. Announcing it again
+	// extends the time.
+	Announce(ctx context.Context, name, address string, ttl time.Duration) error
+}
+
 // Directory is the state of a gateway that the handlers for callers and for the
 // platform need.
 type Directory interface {
--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -204,6 +204,7 @@
 	}
 	g.group.Go("membership", g.members.Run)
 	g.group.Go("feed", g.follower.Run)
+	g.group.Go("meeting", guard.Loop(g.log, "meeting", g.meet))
 	g.group.Go("state", guard.Loop(g.log, "state", g.state.Run))
 	g.group.Go("places", guard.Loop(g.log, "places", g.places.Run))
 	g.group.Go("quarantines", guard.Loop(g.log, "quarantines", g.crashes.Run))
--- a/internal/gate/loops_test.go
+++ b/internal/gate/loops_test.go
@@ -126,16 +126,19 @@
 
 func (p *faultyPlatform) Alive(context.Context, place.Upstream) error { return nil }
 
+func (p *faultyPlatform) Announce(context.Context, string, string, time.Duration) error { return nil }
+
 func (p *faultyPlatform) adapter(AdapterOptions) Adapter {
 	handler := func(name string) http.Handler {
 		return http.HandlerFunc(func(http.ResponseWriter, *http.Request) { p.hit(name) })
 	}
 	return Adapter{
-		Source: p, Codec: p, Reserver: p, Quarantines: p,
+		Source: p, Codec: p, Reserver: p, Quarantines: p, Meeting: p,
 		Load: func(context.Context, place.Upstream) (place.Load, error) {
 			p.hit("load")
 			return place.Load{}, nil
 		},
+		DecodeGateway: func(string, []byte) (string, bool, error) { return "", false, nil },
 		DecodeQuarantine: func(key string, _ []byte) (q crash.Quarantine, ok bool, err error) {
 			if key == "bad" {
 				p.hit("quarantine")
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -65,8 +65,10 @@
 	// announced that it leaves.
 	gone  map[string]time.Time
 	pools map[string]*place.Pool
-	// refused holds the revisions of the quarantines that cannot be read, by key. Only
-	// refresh uses it.
+	// gateways holds the peer addresses of the gateways that have announced themselves.
+	gateways []string
+	// refused holds the revisions of the quarantines and gateways that cannot be read, by
+	// key. Only refresh uses it.
 	refused map[string]uint64
 	// faulty holds the revisions of the keys whose value could not be applied because
 	// of an unexpected error.
@@ -137,6 +139,7 @@
 	s.crashes.Sync(s.quarantines(live))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.gateways = s.readGateways(live)
 	changed := false
 	for key, entry := range live {
 		changed = s.apply(key, entry) || changed
--- a/internal/gate/state_test.go
+++ b/internal/gate/state_test.go
@@ -24,6 +24,7 @@
 	odd := errors.New("odd")
 	return Adapter{
 		DecodeDocument: func(string, []byte) (*route.Config, bool, error) { return nil, false, nil },
+		DecodeGateway:  func(string, []byte) (string, bool, error) { return "", false, nil },
 		DecodeQuarantine: func(key string, data []byte) (crash.Quarantine, bool, error) {
 			if strings.HasPrefix(key, "q/") && string(data) == "odd" {
 				return crash.Quarantine{}, true, odd
