place: a limit holds until an answer withdraws it

Cause: a host forgot a limit that it had not heard for 30 s. Under a low limit it waits longer than that for its next turn, and without the limit it asks nobody for a permit. Change: limits are forgotten after two hours, when their processes are gone. Why it works: the silence of a limited server says nothing of its limit; its next answer does.

--- a/internal/place/limit.go
+++ b/internal/place/limit.go
@@ -25,8 +25,10 @@
 	// idleCredit and a random fraction of a request.
 	minorShare = 0.5
 	idleCredit = 250 * time.Millisecond
-	// limitRetention is how long a limit holds without an answer of the upstream.
-	limitRetention = 30 * time.Second
+	// limitRetention is how long a limit holds without an answer of the upstream: longer
+	// than one of 400 nodes waits for its turn under minLimit. Only the processes of
+	// upstreams that are gone are forgotten this way.
+	limitRetention = 2 * time.Hour
 )
 
 // LimitObservation is what an answer of an upstream states of its limit on requests
--- a/internal/place/limit_test.go
+++ b/internal/place/limit_test.go
@@ -43,9 +43,11 @@
 			l.observe(named(2), now())
 			l.observe(withdrawn, sent)
 		}, 2},
-		"learned":              {func(l table) { l.learn([]knownLimit{{"e", 2, time.Second}}) }, 2},
-		"learned, but heard":   {func(l table) { l.observe(named(1), now()); l.learn([]knownLimit{{"e", 2, 0}}) }, 1},
-		"no answer for a time": {func(l table) { l.observe(named(2), now()); time.Sleep(limitRetention + 1); l.known() }, unlimited},
+		"learned":            {func(l table) { l.learn([]knownLimit{{"e", 2, time.Second}}) }, 2},
+		"learned, but heard": {func(l table) { l.observe(named(1), now()); l.learn([]knownLimit{{"e", 2, 0}}) }, 1},
+		// Each of 300 hosts hears one answer in 50 minutes.
+		"no answer while others have their turn": {func(l table) { l.observe(named(0), now()); time.Sleep(50 * time.Minute); l.known() }, minLimit},
+		"no answer for a time":                   {func(l table) { l.observe(named(2), now()); time.Sleep(limitRetention + 1); l.known() }, unlimited},
 		"learned after it was withdrawn": {func(l table) {
 			l.observe(named(2), now())
 			l.observe(withdrawn, now())
