crash: which request ends engines outlives the host that counts

Cause: the owner of the service alone counted such ends, and its count ended with it. Change: all hosts are told from the second end on the same request on, and a host that starts asks others for what they know. TestCrashing*, TestSoundPartsBesideFaults and TestOverlappingFaults pass, as do TestCrashingPrompt and TestCrashingPrefix of emul/system. Why it works: the next owner was there, or has asked one that was. One end, which every request on a failed engine has, is still known to the owner only.

--- a/internal/crash/publish.go
+++ b/internal/crash/publish.go
@@ -8,7 +8,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/verbenapier/verbenapier/internal/guard"
 	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
 const (
@@ -49,6 +51,13 @@
 	if r.options.Store == nil {
 		interval = exchangeInterval
 	}
+	learning := group.New(ctx)
+	learning.Go("learning", guard.Loop(r.options.Log, "learning", r.learnAll))
+	defer func() {
+		learning.Stop()
+		// learnAll returns no error, and a loop that ends with a panic has logged it.
+		_ = learning.Wait()
+	}()
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for round := 0; ; round++ {
--- a/internal/crash/registry.go
+++ b/internal/crash/registry.go
@@ -19,6 +19,10 @@
 const (
 	MethodReport = "crash.report"
 	MethodList   = "crash.list"
+	// MethodLearn tells what is known of the ends on a part, and MethodEnds returns that
+	// of all parts.
+	MethodLearn = "crash.learn"
+	MethodEnds  = "crash.ends"
 )
 
 // peerTimeout bounds a call to one peer.
@@ -82,6 +86,11 @@
 		r.apply(report, takeoverDelay)
 		return struct{}{}, nil
 	}))
+	m.Handle(MethodLearn, wire.Typed(func(_ context.Context, _ string, e Ends) (struct{}, error) {
+		r.Learn(e)
+		return struct{}{}, nil
+	}))
+	m.Handle(MethodEnds, wire.Typed(func(context.Context, string, struct{}) ([]Ends, error) { return r.AllEnds(), nil }))
 	m.Handle(MethodList, wire.Typed(func(context.Context, string, struct{}) ([]Quarantine, error) {
 		active, _ := r.Quarantines()
 		return active, nil
@@ -89,28 +98,16 @@
 }
 
 // Report records the end of an engine that this host observed, and reports it to the
-// other hosts without waiting for them. They need not know of requests that had begun
-// to be answered, unless these were on trial.
+// other hosts without waiting for them. Of a request that had begun to be answered and was
+// not on trial they are told from the sharedEnds-th end on.
 func (r *Registry) Report(report Report) {
 	r.apply(report, 0)
-	if report.Begun && len(report.Suspects) == 0 {
+	if !report.Begun || len(report.Suspects) > 0 {
+		r.tell(MethodReport, report)
 		return
 	}
-	self := r.options.Members.Self().Name
-	for _, m := range r.options.Members.Members() {
-		if m.Name == self || m.State == member.Dead {
-			continue
-		}
-		r.options.Group.Go("crash report", guard.Task(r.options.Log, "crash report", func(ctx context.Context) error {
-			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-			defer cancel()
-			if err := r.options.Caller.Call(ctx, m.PeerAddress, MethodReport, report, &struct{}{}); err != nil {
-				// The host learns of quarantines from the platform.
-				r.options.Log.WithError(err).WithFields(logrus.Fields{"event": "crash_report_lost", "member": m.Name}).
-					Debug("could not report the end of an engine to another host")
-			}
-			return nil
-		}))
+	if e := r.EndsOf(report.Content.Whole); len(e.Engines) >= sharedEnds {
+		r.tell(MethodLearn, e)
 	}
 }
 
