crowd: one way to sample a process, and one configuration document

Cause: two loops of the meter took the same steps, and the document of the daemon's crowds repeated that of the system tests. Change: a method for a sample; the system tests' document has a route that may be repeated.

--- a/emul/system/crowd_test.go
+++ b/emul/system/crowd_test.go
@@ -23,7 +23,6 @@
 	"github.com/verbenapier/verbenapier/emul/internal/fault"
 	"github.com/verbenapier/verbenapier/emul/internal/plat"
 	"github.com/verbenapier/verbenapier/internal/crowd"
-	"github.com/verbenapier/verbenapier/pkg/confd"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
@@ -53,22 +52,6 @@
 	lowestPort, portRange = 15_000, 15_000
 )
 
-var crowdDocument = fmt.Sprintf(`{
-	"services": {
-		"drafting": {
-			"kind": "engine", "models": ["draft"], "time_limit": "30s", "max_time_limit": "2m",
-			"short_prompt_tokens": 2048, "weights": {"time_to_first_token": 1, "head_of_line_blocking": 3},
-			"quarantine_time": "10m",
-		},
-		"order-desk": {
-			"kind": "plain", "time_limit": "10s", "max_time_limit": "1m", "idempotency_window": "1h",
-			"routes": [{"method": "POST", "path": "/orders", "idempotent": false}, {"method": "POST", "path": "/look", "idempotent": true}],
-		},
-	},
-	"models": {"draft": {"version": "1"}},
-	"organisations": {"shop": {"keys": [%q], "weight": 1}},
-}`, confd.KeyHash(shopKey))
-
 // loopback is a daemon in a process of its own, and its platform, an engine and a plain
 // upstream in the process of the test, all on loopback.
 type loopback struct {
@@ -146,7 +129,7 @@
 	d.process, err = crowd.Start(context.Background(), output, files, binary, "--settings", path)
 	require.NoError(t, err)
 	d.await("the document is not applied", func() bool {
-		status, _ := d.send(http.MethodPut, d.operators, "/admin/v1/config?base=0", crowdDocument)
+		status, _ := d.send(http.MethodPut, d.operators, "/admin/v1/config?base=0", document)
 		return status == http.StatusOK
 	})
 	d.awaitAnswer()
--- a/emul/system/deploy_test.go
+++ b/emul/system/deploy_test.go
@@ -473,7 +473,7 @@
 		},
 		"order-desk": {
 			"kind": "plain", "time_limit": "10s", "max_time_limit": "1m", "idempotency_window": "1h",
-			"routes": [{"method": "POST", "path": "/orders", "idempotent": false}],
+			"routes": [{"method": "POST", "path": "/orders", "idempotent": false}, {"method": "POST", "path": "/look", "idempotent": true}],
 		},
 	},
 	"models": {"draft": {"version": "1"}},
--- a/internal/crowd/meter.go
+++ b/internal/crowd/meter.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"os"
+	"errors"
+	"io/fs"
 	"time"
 
 	"github.com/verbenapier/verbenapier/pkg/group"
@@ -19,13 +20,8 @@
 func Settle(ctx context.Context, p *Process) error {
 	last, equal := Usage{}, 0
 	for equal < settledSamples && group.Sleep(ctx, sampleInterval) {
-		u, err := p.Usage()
-		select {
-		case <-p.Exited():
-			return nil
-		default:
-		}
-		if err != nil && !os.IsNotExist(err) {
+		u, ended, err := p.sample()
+		if ended || err != nil {
 			return err
 		}
 		if equal++; u.queued != last.queued {
@@ -35,6 +31,21 @@
 	return ctx.Err()
 }
 
+// sample measures the process unless it has ended.
+func (p *Process) sample() (u Usage, ended bool, err error) {
+	u, err = p.Usage()
+	select {
+	case <-p.Exited():
+		return Usage{}, true, nil
+	default:
+	}
+	if errors.Is(err, fs.ErrNotExist) {
+		// The process is about to be waited for.
+		return Usage{}, false, nil
+	}
+	return u, false, err
+}
+
 // Meter measures a process again and again.
 type Meter struct {
 	group *group.Group
@@ -47,13 +58,8 @@
 	m := &Meter{group: group.New(ctx)}
 	m.group.Go("meter", func(ctx context.Context) error {
 		for {
-			u, err := p.Usage()
-			select {
-			case <-p.Exited():
-				return nil
-			default:
-			}
-			if err != nil && !os.IsNotExist(err) {
+			u, ended, err := p.sample()
+			if ended || err != nil {
 				return err
 			}
 			m.peak.Memory, m.peak.Sockets = max(m.peak.Memory, u.Memory), max(m.peak.Sockets, u.Sockets)
