dialer: set the receive buffer before the connection is opened

Callers saw: on loopback an answer of 8 MiB did not arrive within 7 s; found by the benchmark of ordinary callers, not by a crowd. Cause: the buffer was made smaller after the connection was open, and the kernel sends slowly into a window that was opened wider. Change: connections to upstreams are opened with the buffer, as those of listeners are. Evidence: TestLargeRequestsInCalm 'answer' ran into its limit of 7 s before and takes 0.3 s. Why it works: the window never exceeds the buffer.

--- a/emul/system/crowd_test.go
+++ b/emul/system/crowd_test.go
@@ -231,14 +231,37 @@
 	}
 }
 
-// Guards against clients that do not behave and fill the memory or the descriptors of
-// the machine: on the port that clients reach the daemon lives on, stays within both,
-// and answers ordinary requests while they stay and after they have left.
-func TestCrowd(t *testing.T) {
+// buildDaemon builds the daemon and returns the path of its program.
+func buildDaemon(t *testing.T) string {
 	binary := filepath.Join(t.TempDir(), "verbenapierd")
 	build := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "github.com/verbenapier/verbenapier/cmd/verbenapierd")
 	output, err := build.CombinedOutput()
 	require.NoError(t, err, string(output))
+	return binary
+}
+
+// Guards against limits that an ordinary caller meets: the largest body and a large answer
+// on the machine of the crowds, at the first attempt.
+func TestLargeRequestsInCalm(t *testing.T) {
+	d := startLoopback(t, buildDaemon(t), crowdMemory, crowdFiles)
+	defer d.close()
+	for name, r := range shapedRequests() {
+		if strings.HasSuffix(name, "prompts") && name != "many prompts" {
+			status, body := d.send(http.MethodPost, d.callers, "/v1/completions", string(r.Body))
+			require.Equal(t, http.StatusOK, status, "%s: %s", name, body)
+		}
+	}
+	long := strings.Repeat("x", crowdBody)
+	status, body := d.send(http.MethodPost, d.callers, "/services/order-desk/look", long)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, len(long), len(body))
+}
+
+// Guards against clients that do not behave and fill the memory or the descriptors of
+// the machine: on the port that clients reach the daemon lives on, stays within both,
+// and answers ordinary requests while they stay and after they have left.
+func TestCrowd(t *testing.T) {
+	binary := buildDaemon(t)
 	type crowdCase struct {
 		clients, memory, files int
 		behaviour              crowd.Behaviour
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -35,9 +37,29 @@
 // Func opens a connection to an address of the form host:port.
 type Func func(ctx context.Context, address string) (net.Conn, error)
 
+// boundedKey is the key in the context of a dial whose connection has a bounded receive
+// buffer.
+type boundedKey struct{}
+
 // TCP opens a TCP connection.
 func TCP(ctx context.Context, address string) (net.Conn, error) {
-	return (&net.Dialer{KeepAliveConfig: KeepAlive}).DialContext(ctx, "tcp", address)
+	d := net.Dialer{KeepAliveConfig: KeepAlive}
+	if ctx.Value(boundedKey{}) != nil {
+		// The kernel must know before it connects: it sends slowly into a window that
+		// was opened wider.
+		d.Control = func(_, _ string, c syscall.RawConn) error { return BoundReceiveBuffer(c) }
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// BoundReceiveBuffer sets the receive buffer of a socket, or of the connections of a
+// listening one, to ReceiveBuffer.
+func BoundReceiveBuffer(c syscall.RawConn) error {
+	var optionErr error
+	err := c.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, ReceiveBuffer)
+	})
+	return errors.Join(err, optionErr)
 }
 
 // Host dials and listens on the network of the host that the process runs on.
@@ -74,7 +96,7 @@
 // Transport returns an HTTP transport over dial, without a proxy. A failed
 // dial is Unreachable: the request was not sent.
 //
-// Each request opens its own connection. On a kept connection, a late second copy of
+// Its connections have bounded receive buffers. Each request opens its own connection. On a kept connection, a late second copy of
 // an answer would be taken for the answer to the next request, and net/http would
 // repeat some requests after the connection breaks.
 func Transport(dial Func) *http.Transport {
@@ -84,14 +106,10 @@
 			defer cancel()
 			var conn net.Conn
 			// net/http dials in a goroutine of its own.
-			err := group.Call(ctx, func(ctx context.Context) (err error) {
+			err := group.Call(context.WithValue(ctx, boundedKey{}, true), func(ctx context.Context) (err error) {
 				conn, err = dial(ctx, address)
 				return err
 			})
-			if tcp, ok := conn.(*net.TCPConn); ok {
-				// An error means that the connection has ended.
-				_ = tcp.SetReadBuffer(ReceiveBuffer)
-			}
 			return conn, fault.Wrap(fault.Unreachable, err, "cannot connect to %s", address)
 		},
 		DisableKeepAlives:      true,
--- a/internal/quota/conn.go
+++ b/internal/quota/conn.go
@@ -193,11 +193,7 @@
 func (q *Quota) boundReceiveBuffer(s syscall.Conn) {
 	raw, err := s.SyscallConn()
 	if err == nil {
-		var optionErr error
-		err = raw.Control(func(fd uintptr) {
-			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, dialer.ReceiveBuffer)
-		})
-		err = errors.Join(err, optionErr)
+		err = dialer.BoundReceiveBuffer(raw)
 	}
 	if err != nil {
 		q.log.WithError(err).WithField("event", "buffer_unbounded").Warn("the receive buffers of a port could not be bounded")
