quota: names that say what they hold, and no missed release

Cause: fields and phases of a connection had the same names, and a release between a failed reservation and the wait for the next release was missed, for up to half a second. Change: renamed; both happen under one lock. Result: the package's tests pass, with the race detector too.

--- a/internal/quota/body.go
+++ b/internal/quota/body.go
@@ -166,7 +166,7 @@
 	}
 	b.quota.mu.Lock()
 	defer b.quota.mu.Unlock()
-	b.conn.body += n
+	b.conn.bodyHeld += n
 }
 
 // ReadAll reads up to limit bytes into memory that grow, which is TryGrow or calls Grow,
--- a/internal/quota/conn.go
+++ b/internal/quota/conn.go
@@ -49,10 +49,10 @@
 	idle progress = iota
 	// arriving: a request has not arrived completely.
 	arriving
-	// reading: an answer is being written and the client has to read.
-	reading
-	// served: the process is at work.
-	served
+	// unread: an answer is being written, which waits for the client to read.
+	unread
+	// busy: the process is at work.
+	busy
 )
 
 // conn is a connection of a client. Quota.mu guards its fields.
@@ -64,9 +64,9 @@
 	since time.Time
 	// writingSince is when the write in progress began, or zero.
 	writingSince time.Time
-	// headBytes is the number of bytes of the header so far, and head what is reserved
-	// for them. Body is what is reserved for the body.
-	headBytes, head, body int64
+	// headBytes is the number of bytes of the header so far. headHeld and bodyHeld are
+	// what is reserved for the header and the body.
+	headBytes, headHeld, bodyHeld int64
 	// evicted is set once the connection had to give way.
 	evicted bool
 }
@@ -76,11 +76,11 @@
 func (c *conn) progress() (progress, time.Time) {
 	switch {
 	case !c.writingSince.IsZero():
-		return reading, c.writingSince
+		return unread, c.writingSince
 	case c.phase == waiting:
 		return idle, c.since
 	case c.phase == serving:
-		return served, c.since
+		return busy, c.since
 	}
 	return arriving, c.since
 }
@@ -99,8 +99,8 @@
 	defer c.quota.mu.Unlock()
 	c.phase, c.since = p, time.Now()
 	if p == ended || p == waiting {
-		c.quota.giveBack(c.head)
-		c.headBytes, c.head, c.body = 0, 0, 0
+		c.quota.giveBack(c.headHeld)
+		c.headBytes, c.headHeld, c.bodyHeld = 0, 0, 0
 	}
 }
 
@@ -128,19 +128,19 @@
 		return false
 	}
 	c.headBytes += n
-	need := max(0, c.headBytes-freeHead)*headFactor - c.head
+	need := max(0, c.headBytes-freeHead)*headFactor - c.headHeld
 	if need <= 0 {
 		return true
 	}
 	for !q.take(need) {
-		slow := q.slowest(time.Now(), arriving, reading)
+		slow := q.slowest(time.Now(), arriving, unread)
 		if slow == nil || slow == c || slow.phase == body {
 			q.refusedMemory.Inc(1)
 			return false
 		}
 		q.evict(slow)
 	}
-	c.head += need
+	c.headHeld += need
 	return true
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -139,7 +139,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for len(q.conns) >= q.maxConns || q.held+connMemory > q.memory {
-		slowest := q.slowest(time.Now(), idle, arriving, reading)
+		slowest := q.slowest(time.Now(), idle, arriving, unread)
 		if slowest == nil {
 			q.refusedConns.Inc(1)
 			q.logPressure("client_refused")
@@ -163,8 +163,8 @@
 func (q *Quota) remove(c *conn) {
 	if _, ok := q.conns[c]; ok {
 		delete(q.conns, c)
-		q.giveBack(connMemory + c.head)
-		c.head = 0
+		q.giveBack(connMemory + c.headHeld)
+		c.headHeld = 0
 	}
 }
 
@@ -242,10 +242,10 @@
 	timer := time.NewTimer(waitTime)
 	defer timer.Stop()
 	for {
-		if h.TryGrow(n) {
+		released := h.growOrMakeRoom(n)
+		if released == nil {
 			return nil
 		}
-		released := q.makeRoom(h.conn, n)
 		select {
 		case <-released:
 		case <-timer.C:
@@ -257,25 +257,36 @@
 	}
 }
 
-// makeRoom makes other connections give way until n bytes are about to be free, if there
-// are any, and returns the channel that is closed when memory is released.
-func (q *Quota) makeRoom(self *conn, n int64) <-chan struct{} {
+// growOrMakeRoom reserves n bytes and returns nil. If they are not free, it makes other
+// connections give way and returns the channel that is closed when memory is released.
+func (h *Hold) growOrMakeRoom(n int64) <-chan struct{} {
+	q := h.quota
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.take(n) {
+		h.bytes += n
+		return nil
+	}
 	released := q.released
+	q.makeRoom(h.conn, n)
+	return released
+}
+
+// makeRoom makes connections other than self give way until n bytes are about to be free,
+// if there are enough of them. The caller holds mu.
+func (q *Quota) makeRoom(self *conn, n int64) {
 	for n > 0 {
-		c := q.slowest(time.Now(), arriving, reading, idle)
+		c := q.slowest(time.Now(), arriving, unread, idle)
 		if c == nil || c == self {
-			break
+			return
 		}
-		n -= connMemory + c.head + c.body
+		n -= connMemory + c.headHeld + c.bodyHeld
 		if c.phase == body {
 			q.stopReading(c)
-			continue
+		} else {
+			q.evict(c)
 		}
-		q.evict(c)
 	}
-	return released
 }
 
 // stopReading ends the reading of a body, so that its request is refused. The caller
