--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -57,8 +57,8 @@
 	quietPeriod       = 500 * time.Millisecond
 	addressLifetimes  = 3.2
 	leavePollInterval = 50 * time.Millisecond
-	// announceTimeout bounds the announcement to the other hosts that this one
-	// leaves.
+	// announceTimeout bounds the announcement to the other hosts that this one leaves,
+	// and that on the platform that it knows no other.
 	announceTimeout = time.Second
 	// gcPercent is the growth of the heap, in percent, that starts a collection.
 	gcPercent = 60
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -194,7 +194,7 @@
 		return nil, err
 	}
 	b, err = c.readResponse(ctx, resp, u)
-	if err == nil && b.status < http.StatusInternalServerError {
+	if err == nil && b.status < http.StatusInternalServerError || fault.Is(err, fault.HostStopped) {
 		outcome = place.Completed
 	}
 	return b, err
