answer: an answer that ends with a reset during the upload is not whole

What callers saw: an engine answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. The caller got that part as a complete answer; verbenapierd recorded it as the outcome of a call that may run once. Cause: the kernel reports a reset once. If the write of the request got ECONNRESET, the read of the answer returned 0, which is the end of a body without a length. Change: package answer wraps the connections of dialer.Transport. It keeps the error of a failed write, and a read that finds the end returns it. A write that fails with EPIPE came after the end of the answer, so that one is whole. A failed write no longer closes the connection before the answer was read. HTTPS connections are wrapped above TLS.

--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
@@ -96,24 +97,40 @@
 // Transport returns an HTTP transport over dial, without a proxy. A failed
 // dial is Unreachable: the request was not sent.
 //
-// Its connections have bounded receive buffers. Each request opens its own connection. On a kept connection, a late second copy of
-// an answer would be taken for the answer to the next request, and net/http would
-// repeat some requests after the connection breaks.
+// Its connections have bounded receive buffers, and what arrives on them is checked by
+// package answer. Each request opens its own connection. On a kept connection, a late
+// second copy of an answer would be taken for the answer to the next request, and net/http
+// would repeat some requests after the connection breaks.
 func Transport(dial Func) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-			defer cancel()
-			var conn net.Conn
-			// net/http dials in a goroutine of its own.
-			err := group.Call(context.WithValue(ctx, boundedKey{}, true), func(ctx context.Context) (err error) {
-				conn, err = dial(ctx, address)
-				return err
-			})
-			return conn, fault.Wrap(fault.Unreachable, err, "cannot connect to %s", address)
+			return dialForAnswer(ctx, dial, address)
+		},
+		DialTLSContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			name, _, err := net.SplitHostPort(address)
+			if err != nil {
+				return nil, fault.Wrap(fault.Unreachable, err, "cannot connect to %s", address)
+			}
+			return dialForAnswer(ctx, Secure(dial, &tls.Config{ServerName: name, MinVersion: tls.VersionTLS12}), address)
 		},
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
+
+// dialForAnswer opens a connection for one request and its answer.
+func dialForAnswer(ctx context.Context, dial Func, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	var conn net.Conn
+	// net/http dials in a goroutine of its own.
+	err := group.Call(context.WithValue(ctx, boundedKey{}, true), func(ctx context.Context) (err error) {
+		conn, err = dial(ctx, address)
+		return err
+	})
+	if err != nil {
+		return nil, fault.Wrap(fault.Unreachable, err, "cannot connect to %s", address)
+	}
+	return answer.NewConn(conn), nil
+}
--- a/internal/entry/end_test.go
+++ b/internal/entry/end_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
@@ -27,6 +28,8 @@
 	reset  atomic.Bool
 	// ends says whether it closes its port when it has read a request.
 	ends bool
+	// early, unless nil, is called after an answer that is sent before the request was read.
+	early func(c *net.TCPConn, request io.Reader)
 	// requests counts the requests that it has read.
 	requests atomic.Int64
 }
@@ -63,6 +66,12 @@
 		return
 	}
 	u.requests.Add(1)
+	if u.early != nil {
+		_, _ = io.WriteString(c, u.answer.Load().(string))
+		time.Sleep(uploadPause)
+		u.early(c.(*net.TCPConn), r.Body)
+		return
+	}
 	if r.ContentLength > 0 {
 		_, _ = r.Body.Read(make([]byte, r.ContentLength))
 	}
@@ -85,11 +94,11 @@
 
 // callOverNetwork sends a call to the server over a connection, and returns its status,
 // its body and whether these look complete.
-func callOverNetwork(t *testing.T, s *Server, method string) (status int, body string, complete bool) {
+func callOverNetwork(t *testing.T, s *Server, method, request string) (status int, body string, complete bool) {
 	host := httptest.NewServer(s)
 	defer host.Close()
 	path := map[string]string{http.MethodGet: "/orders/1", http.MethodPost: "/orders"}[method]
-	r, err := http.NewRequestWithContext(t.Context(), method, host.URL+"/services/order-desk"+path, strings.NewReader("x"))
+	r, err := http.NewRequestWithContext(t.Context(), method, host.URL+"/services/order-desk"+path, strings.NewReader(request))
 	require.NoError(t, err)
 	r.Header.Set("Authorization", "Bearer "+testKey)
 	r.Header.Set(idempotencyKeyHeader, uuid.Must(uuid.NewV7()).String())
@@ -151,7 +160,7 @@
 				u := newRawUpstream(t, tc.ends)
 				u.answer.Store(tc.answer)
 				s, claims := plainServer(t, u.address)
-				status, _, complete := callOverNetwork(t, s, method)
+				status, _, complete := callOverNetwork(t, s, method, "x")
 				require.Equal(t, tc.complete, complete && status < http.StatusMultipleChoices, "status %d", status)
 				if !tc.complete {
 					require.Empty(t, claims.outcomes)
@@ -169,9 +178,55 @@
 	second.answer.Store("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
 	s, _ := plainServer(t, first.address)
 	s.options.Directory = upstreamList{newFakeFleet(1, 1, 0), []string{first.address, second.address}}
-	status, body, complete := callOverNetwork(t, s, http.MethodGet)
+	status, body, complete := callOverNetwork(t, s, http.MethodGet, "x")
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, "whole", body)
 	require.True(t, complete)
 	require.EqualValues(t, 1, first.requests.Load())
 }
+
+const (
+	// longUpload is more than the kernel holds of a body that an upstream does not read,
+	// in bytes.
+	longUpload = 8 << 20
+	// uploadPause is the time in which an upload fills the buffers of the kernel.
+	uploadPause = 20 * time.Millisecond
+	// earlyRounds is how often an upload is played: which end of the connection notices a
+	// reset first differs from one to the next.
+	earlyRounds = 10
+)
+
+// Guards against a part of an answer without a length that looks complete, and is recorded
+// as the outcome of a call, because its upstream reset the connection while the call was
+// still being written; and against a sound answer that is lost for that reason.
+func TestCallIsAnsweredEarly(t *testing.T) {
+	cases := map[string]struct {
+		early    func(c *net.TCPConn, request io.Reader)
+		complete bool
+	}{
+		"reset":                 {func(c *net.TCPConn, _ io.Reader) { _ = c.SetLinger(0) }, false},
+		"call read to its end":  {func(_ *net.TCPConn, request io.Reader) { _, _ = io.Copy(io.Discard, request) }, true},
+		"answer ended, no read": {func(c *net.TCPConn, _ io.Reader) { _ = c.CloseWrite(); time.Sleep(uploadPause) }, true},
+	}
+	for name, tc := range cases {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(name+" "+method, func(t *testing.T) {
+				u := newRawUpstream(t, false)
+				u.early = tc.early
+				u.answer.Store("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole")
+				s, claims := plainServer(t, u.address)
+				s.options.Limits.MaxBody = longUpload
+				for range earlyRounds {
+					status, body, complete := callOverNetwork(t, s, method, strings.Repeat("x", longUpload))
+					require.Equal(t, tc.complete, complete && status < http.StatusMultipleChoices, "status %d", status)
+					if tc.complete {
+						require.Equal(t, "whole", body)
+					}
+				}
+				if !tc.complete {
+					require.Empty(t, claims.outcomes, "an outcome that is unknown was recorded")
+				}
+			})
+		}
+	}
+}
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -128,7 +128,9 @@
 	engines *fakeReserver
 	// listeners are those of the upstreams, by their IDs.
 	listeners map[string]net.Listener
-	url       string
+	// maxBody is the maximum size of a request's body in bytes, or 0 for the default.
+	maxBody int64
+	url     string
 
 	mu  sync.Mutex
 	log bytes.Buffer
@@ -139,7 +141,7 @@
 // may not. The host other has a route /a/ only.
 func newGateway(t testing.TB) *gateway {
 	g := &gateway{t: t, group: group.New(t.Context()), placer: &orderedPlacer{}, engines: &fakeReserver{}, listeners: map[string]net.Listener{}}
-	table := route.NewTable(&route.Config{
+	config := route.Config{
 		Routes: []route.Route{
 			{Host: "h", Prefix: "/stream/", Stream: true, Resumable: true, Timeout: 20 * time.Second, Attempts: 3, GapGoal: 100 * time.Millisecond, Shares: []route.Share{{Service: "model", Weight: 1}}},
 			{Host: "h", Prefix: "/stream-once/", Stream: true, Timeout: 20 * time.Second, Attempts: 3, GapGoal: 100 * time.Millisecond, Shares: []route.Share{{Service: "model", Weight: 1}}},
@@ -149,12 +151,17 @@
 			{Host: "h", Prefix: "/plain/", Idempotent: true, Timeout: 20 * time.Second, Attempts: 3, Shares: []route.Share{{Service: "plain", Weight: 1}}},
 		},
 		Services: map[string]route.Service{"model": {Name: "model", Engine: &route.Engine{EventTokens: 1}}, "plain": {Name: "plain"}},
-	})
+	}
+	table := func() *route.Table {
+		current := config
+		current.MaxBodyBytes = g.maxBody
+		return route.NewTable(&current)
+	}
 	log := logrus.New()
 	log.SetOutput(g)
 	server := New(Options{
 		Drain: drain.New(log), Quota: newQuota(log),
-		Codec: headerCodec{}, Placer: g.placer, Reserver: g.engines, Group: g.group, Table: func() *route.Table { return table },
+		Codec: headerCodec{}, Placer: g.placer, Reserver: g.engines, Group: g.group, Table: table,
 		ConfigAge: func() time.Duration { return 0 }, UpstreamID: func(string) string { return "" },
 		Budget: retry.New(1, 100, time.Minute, func() int { return 1 }),
 		Dial:   dialer.TCP, Random: rand.New(rand.NewPCG(1, 1)), Log: log,
