answer: refuse answers whose head has a malformed line

What callers saw: answers in whose head the name of a field held a blank, or had one before or after it, came as whole answers, with that line passed on; where the blank was in Content-Length or Transfer-Encoding, the body was not that of the engine. In the gateway for calls and streams, in verbenapierd for calls. Cause: net/http takes such a name for that of an unknown field and joins a line that begins with a blank to the one before; both daemons then frame the body by the fields that are left. Change: the connections of package answer check each line of a head as it arrives. A malformed one makes the attempt count as lost. golang.org/x/net, new, checks names and values. Control bytes in names were refused before; the cases stay.

--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -19,6 +19,7 @@
 // conn is a connection for one request and its answer.
 type conn struct {
 	net.Conn
+	head headReader
 
 	// writing is held during a write. It guards the fields below.
 	writing sync.Mutex
@@ -29,8 +30,9 @@
 	broken error
 }
 
-// NewConn returns a connection that distinguishes the end of an answer from a reset that
-// happens while the request is being written.
+// NewConn returns a connection on which only an answer can be read. It checks the head of
+// the answer, and distinguishes the end of the answer from a reset that happens while the
+// request is being written.
 //
 // The kernel reports a reset once: to the write, if that comes first, and the read then
 // returns the end of the answer. A write to a connection whose other end had ended its
@@ -63,9 +65,13 @@
 	return len(p), nil
 }
 
-// Read implements net.Conn. The error is UpstreamLost if the connection was reset.
+// Read implements net.Conn. The error is UpstreamLost if the connection was reset, or what
+// arrives is no answer.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if headErr := c.head.read(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.end()
 	}
--- /dev/null
+++ b/internal/answer/head.go
@@ -0,0 +1,81 @@
+package answer
+
+import (
+	"bytes"
+
+	"golang.org/x/net/http/httpguts"
+
+	"github.com/verbenapier/verbenapier/pkg/fault"
+)
+
+// headReader checks the heads of an answer as their bytes arrive: those of informational
+// responses, and that of the final one. It is stricter than net/http, which takes a name
+// with a blank for that of another field.
+type headReader struct {
+	// line is the beginning of a line whose end has not arrived.
+	line []byte
+	// inFields is set between the status line and the blank line.
+	inFields bool
+	// informational is set if the head is that of an informational response.
+	informational bool
+	// done is set after the final head.
+	done bool
+}
+
+// read checks the next bytes of the answer. What follows the heads is not looked at. The
+// error is UpstreamLost if the bytes are those of no answer.
+func (h *headReader) read(p []byte) error {
+	for !h.done {
+		line, rest, ended := bytes.Cut(p, []byte("\n"))
+		if !ended {
+			h.line = append(h.line, line...)
+			return nil
+		}
+		if len(h.line) > 0 {
+			line = append(h.line, line...)
+		}
+		if err := h.readLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
+			return err
+		}
+		h.line, p = h.line[:0], rest
+	}
+	h.line = nil
+	return nil
+}
+
+// readLine checks a line.
+func (h *headReader) readLine(line []byte) error {
+	switch {
+	case !h.inFields:
+		h.inFields = true
+		h.informational = isInformational(line)
+		return nil
+	case len(line) > 0:
+		return checkField(line)
+	}
+	h.inFields, h.done = false, !h.informational
+	return nil
+}
+
+// isInformational reports whether further heads follow the one with this status line.
+func isInformational(line []byte) bool {
+	_, status, _ := bytes.Cut(line, []byte(" "))
+	return bytes.HasPrefix(status, []byte("1"))
+}
+
+// checkField checks a line with a field. Lines that continue the one before are obsolete
+// and may hide a field, so they are no part of an answer either.
+func checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+		return malformed("line", line)
+	}
+	return nil
+}
+
+// maxQuoted is how much of a malformed line is quoted in an error, in bytes.
+const maxQuoted = 80
+
+func malformed(what string, line []byte) error {
+	return fault.New(fault.UpstreamLost, "the head of the answer has a malformed %s: %q", what, line[:min(len(line), maxQuoted)])
+}
--- a/internal/entry/end_test.go
+++ b/internal/entry/end_test.go
@@ -230,3 +230,27 @@
 		}
 	}
 }
+
+// Guards against bytes that are no answer and reach the caller as one, or are recorded as
+// the outcome of a call. The cases of all kinds are in TestMalformedHead of package relay.
+func TestMalformedAnswer(t *testing.T) {
+	heads := map[string]string{
+		"blank in a name":        "HTTP/1.1 200 OK\r\nX Note: 1\r\nContent-Length: 5\r\n",
+		"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01Note: 1\r\nContent-Length: 5\r\n",
+		"blank hides a length":   "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+		"blank hides chunks":     "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+	}
+	for name, head := range heads {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(name+" "+method, func(t *testing.T) {
+				u := newRawUpstream(t, false)
+				u.answer.Store(head + "Connection: close\r\n\r\nwhole")
+				s, claims := plainServer(t, u.address)
+				status, _, complete := callOverNetwork(t, s, method, "x")
+				require.True(t, complete)
+				require.Equal(t, fault.UpstreamLost.Answer().Status, status)
+				require.Empty(t, claims.outcomes, "an outcome that is unknown was recorded")
+			})
+		}
+	}
+}
