answer: refuse answers whose status line is none

What callers saw: verbenapierd panicked on an answer with status 000 and ended the caller's connection, and passed on 101 and 999, also as the outcome of a call that may run once. The gateway passed on 600 to 999, answers of other versions of HTTP and reasons with control bytes. It answered 502 to 000, 099 and 101: handled before, the cases stay. Cause: net/http takes any three characters that are a number for a status. The gateway looked at the lower end of the range, verbenapierd at none. Change: package answer takes a status line only if it is one of HTTP/1.0 or 1.1 with a status of 100 to 599 other than 101.

--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"net/http"
+	"regexp"
+	"strconv"
 
 	"golang.org/x/net/http/httpguts"
 
@@ -48,8 +51,9 @@
 	switch {
 	case !h.inFields:
 		h.inFields = true
-		h.informational = isInformational(line)
-		return nil
+		status, err := parseStatus(line)
+		h.informational = status < http.StatusOK
+		return err
 	case len(line) > 0:
 		return checkField(line)
 	}
@@ -57,10 +61,22 @@
 	return nil
 }
 
-// isInformational reports whether further heads follow the one with this status line.
-func isInformational(line []byte) bool {
-	_, status, _ := bytes.Cut(line, []byte(" "))
-	return bytes.HasPrefix(status, []byte("1"))
+// statusLine is a status line of the versions of HTTP that end a message in the same way.
+// Its groups are the code and the reason.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[01] ([1-5][0-9]{2})(?: (.*))?$`)
+
+// parseStatus returns the code in a status line. Nobody asks an upstream to switch
+// protocols, so a line that says it does is malformed, too.
+func parseStatus(line []byte) (int, error) {
+	parts := statusLine.FindSubmatch(line)
+	if parts == nil || !httpguts.ValidHeaderFieldValue(string(parts[2])) {
+		return 0, malformed("status line", line)
+	}
+	status, err := strconv.Atoi(string(parts[1]))
+	if err != nil || status == http.StatusSwitchingProtocols {
+		return 0, malformed("status line", line)
+	}
+	return status, nil
 }
 
 // checkField checks a line with a field. Lines that continue the one before are obsolete
@@ -68,7 +84,7 @@
 func checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
-		return malformed("line", line)
+		return malformed("field", line)
 	}
 	return nil
 }
--- a/internal/answer/head_test.go
+++ b/internal/answer/head_test.go
@@ -59,8 +59,8 @@
 	})
 }
 
-// requireSameHead requires that net/http finds only names of fields in a head that counts
-// as that of an answer.
+// requireSameHead requires that net/http finds a status and only names of fields in a head
+// that counts as that of an answer.
 func requireSameHead(t *testing.T, text *strings.Reader) {
 	resp, err := http.ReadResponse(bufio.NewReader(text), nil)
 	if err != nil {
@@ -68,6 +68,7 @@
 	}
 	// The body may be cut.
 	defer func() { _ = resp.Body.Close() }()
+	require.True(t, resp.StatusCode >= 100 && resp.StatusCode < 600, resp.Status)
 	for name := range resp.Header {
 		require.True(t, httpguts.ValidHeaderFieldName(name), "%q", name)
 	}
--- a/internal/entry/end_test.go
+++ b/internal/entry/end_test.go
@@ -239,6 +239,9 @@
 		"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01Note: 1\r\nContent-Length: 5\r\n",
 		"blank hides a length":   "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
 		"blank hides chunks":     "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+		"status 000":             "HTTP/1.1 000 None\r\nContent-Length: 5\r\n",
+		"status 101":             "HTTP/1.1 101 Switching\r\nContent-Length: 5\r\n",
+		"status 999":             "HTTP/1.1 999 None\r\nContent-Length: 5\r\n",
 	}
 	for name, head := range heads {
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
--- a/internal/relay/malformed_test.go
+++ b/internal/relay/malformed_test.go
@@ -30,6 +30,20 @@
 	"blank hides chunks":          "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
 	"blank hides the end":         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding : chunked\r\n",
 	"informational, blank":        "HTTP/1.1 103 Early\r\nX Note: 1\r\n\r\nHTTP/1.1 200 OK\r\n",
+	"control byte in the reason":  "HTTP/1.1 200 \x01\r\n",
+	"status 000":                  "HTTP/1.1 000 None\r\n",
+	"status 000 without a reason": "HTTP/1.1 000\r\n",
+	"status 000, informational":   "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 000 None\r\n",
+	"status 099":                  "HTTP/1.1 099 None\r\n",
+	"status 101":                  "HTTP/1.1 101 Switching\r\n",
+	"status 600":                  "HTTP/1.1 600 None\r\n",
+	"status 999":                  "HTTP/1.1 999 None\r\n",
+	"signed status":               "HTTP/1.1 +20 None\r\n",
+	"status of two digits":        "HTTP/1.1 20 None\r\n",
+	"status of four digits":       "HTTP/1.1 2000 None\r\n",
+	"status of letters":           "HTTP/1.1 OK 200\r\n",
+	"other version":               "HTTP/2.0 200 OK\r\n",
+	"other protocol":              "ICY 200 OK\r\n",
 }
 
 // Guards against bytes that are no answer and reach the caller as one, with a line that
