answer: refuse chunks in answers of HTTP/1.0

What callers saw: an answer of HTTP/1.0 with Transfer-Encoding came as a whole answer with the sizes of chunks in its body, up to the end of the connection. Cause: net/http ignores the field in that version. Change: such a head does not say where its body ends, and counts as malformed. Measured: TestMalformedHead failed in the 4 subtests of this head before, and passes.

--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 
@@ -21,6 +22,8 @@
 	inFields bool
 	// informational is set if the head is that of an informational response.
 	informational bool
+	// unchunked is set if the head is of a version of HTTP that has no chunks.
+	unchunked bool
 	// done is set after the final head.
 	done bool
 }
@@ -53,9 +56,10 @@
 		h.inFields = true
 		status, err := parseStatus(line)
 		h.informational = status < http.StatusOK
+		h.unchunked = bytes.HasPrefix(line, []byte("HTTP/1.0"))
 		return err
 	case len(line) > 0:
-		return checkField(line)
+		return h.checkField(line)
 	}
 	h.inFields, h.done = false, !h.informational
 	return nil
@@ -81,11 +85,16 @@
 
 // checkField checks a line with a field. Lines that continue the one before are obsolete
 // and may hide a field, so they are no part of an answer either.
-func checkField(line []byte) error {
+//
+// A head of HTTP/1.0 with an encoding of the transfer does not say where its body ends.
+func (h *headReader) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
 		return malformed("field", line)
 	}
+	if h.unchunked && strings.EqualFold(string(name), "Transfer-Encoding") {
+		return malformed("framing", line)
+	}
 	return nil
 }
 
--- a/internal/relay/malformed_test.go
+++ b/internal/relay/malformed_test.go
@@ -29,6 +29,7 @@
 	"blank hides a length":        "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n",
 	"blank hides chunks":          "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
 	"blank hides the end":         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding : chunked\r\n",
+	"chunks of an old version":    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
 	"informational, blank":        "HTTP/1.1 103 Early\r\nX Note: 1\r\n\r\nHTTP/1.1 200 OK\r\n",
 	"control byte in the reason":  "HTTP/1.1 200 \x01\r\n",
 	"status 000":                  "HTTP/1.1 000 None\r\n",
