engine: a redirect is no success, and is not followed

What was seen: verbenapierd took each status under 400 for the success of an order, a reservation, a load query or a cache query. Change: a success of an engine is 200 to 299. Another status under 400 counts as a lost answer, after which the state that the engine reports decides. All clients of both daemons come from answer.NewClient, which returns redirects; the three copies of that rule are gone.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
@@ -33,7 +34,7 @@
 
 // NewClient returns a client that sends through the given transport.
 func NewClient(transport http.RoundTripper) *Client {
-	return &Client{http: &http.Client{Transport: transport}}
+	return &Client{http: answer.NewClient(transport)}
 }
 
 // ErrForeignRefusal is wrapped in the error when an engine refuses a call about a stream
@@ -164,6 +165,10 @@
 // asError returns the error that a failure with the given status means.
 func (f failure) asError(status int) error {
 	kind := fault.UpstreamFailed
+	if status < http.StatusBadRequest {
+		// No engine has a use for such a status, so it tells nothing of the call.
+		kind = fault.UpstreamLost
+	}
 	switch status {
 	case http.StatusConflict:
 		kind = fault.Conflict
@@ -197,7 +202,7 @@
 	if err != nil {
 		return SendError(err, address)
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices {
 		return statusError(resp)
 	}
 	defer func() { _ = resp.Body.Close() }()
--- /dev/null
+++ b/internal/engine/raw_test.go
@@ -0,0 +1,112 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/verbenapier/verbenapier/internal/dialer"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// startRawEngine starts an engine that reads the head of a request on each connection,
+// calls answer with it and closes it. It returns the engine's address.
+func startRawEngine(t *testing.T, answer func(c net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	g := group.New(context.Background())
+	t.Cleanup(func() {
+		require.NoError(t, l.Close())
+		require.NoError(t, g.Wait())
+	})
+	g.Go("engine", func(context.Context) error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil //nolint:nilerr // the listener is closed at the end
+			}
+			g.Go("connection", func(context.Context) error {
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					answer(c)
+				}
+				_ = c.Close()
+				return nil
+			})
+		}
+	})
+	return l.Addr().String()
+}
+
+// calls are the calls of a client to an engine.
+func calls(t *testing.T, client *Client, address string) map[string]func() error {
+	return map[string]func() error{
+		"start": func() error {
+			r, err := client.Start(t.Context(), address, StartRequest{ID: "s"})
+			if err == nil {
+				r.Close()
+			}
+			return err
+		},
+		"order":     func() error { return client.Order(t.Context(), address, Order{Fence: 1, Kind: OrderLoad}) },
+		"reserve":   func() error { return client.Reserve(t.Context(), address, "r", 1, 1) },
+		"unreserve": func() error { return client.Unreserve(t.Context(), address, "r") },
+		"cancel":    func() error { return client.Cancel(t.Context(), address, "s") },
+		"load": func() error {
+			_, err := client.Load(t.Context(), address)
+			return err
+		},
+		"streams": func() error {
+			_, err := client.Streams(t.Context(), address)
+			return err
+		},
+		"events": func() error {
+			_, _, err := client.CacheEvents(t.Context(), address, 0)
+			return err
+		},
+	}
+}
+
+// Guards against a status that does not say that an engine did what it was asked for and
+// counts as success, and against an order that is sent on to another address.
+func TestStatusOfAnswers(t *testing.T) {
+	const body = "Content-Length: 11\r\n\r\n{\"fence\":1}"
+	cases := map[string]struct {
+		head string
+		kind fault.Kind
+		ok   bool
+	}{
+		"200":                  {"HTTP/1.1 200 OK\r\n", 0, true},
+		"000":                  {"HTTP/1.1 000 None\r\n", fault.UpstreamLost, false},
+		"300":                  {"HTTP/1.1 300 Choices\r\n", fault.UpstreamLost, false},
+		"301 without location": {"HTTP/1.1 301 Moved\r\n", fault.UpstreamLost, false},
+		"302":                  {"HTTP/1.1 302 Found\r\nLocation: http://other/\r\n", fault.UpstreamLost, false},
+		"307":                  {"HTTP/1.1 307 Elsewhere\r\nLocation: http://other/\r\n", fault.UpstreamLost, false},
+		"399":                  {"HTTP/1.1 399 None\r\n", fault.UpstreamLost, false},
+		"500":                  {"HTTP/1.1 500 Failed\r\n", fault.UpstreamFailed, false},
+		"999":                  {"HTTP/1.1 999 None\r\n", fault.UpstreamLost, false},
+		"blank in a name":      {"HTTP/1.1 200 OK\r\nX Note: 1\r\n", fault.UpstreamLost, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			other := startRawEngine(t, func(net.Conn) { t.Error("a call was sent on to another address") })
+			head := strings.Replace(tc.head, "//other/", "//"+other+"/", 1)
+			address := startRawEngine(t, func(c net.Conn) { _, _ = io.WriteString(c, head+body) })
+			for call, do := range calls(t, NewClient(dialer.Transport(dialer.TCP)), address) {
+				err := do()
+				if tc.ok {
+					require.NoError(t, err, call)
+					continue
+				}
+				require.Equal(t, tc.kind, fault.KindOf(err), "%s: %v", call, err)
+			}
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/drain"
 	"github.com/verbenapier/verbenapier/internal/engine"
@@ -232,7 +233,7 @@
 		options:     options,
 		tokens:      newTokenEstimator(),
 		grants:      newGrantSet(options.Name, options.Incarnation),
-		plainClient: &http.Client{Transport: dialer.Transport(options.Dial), CheckRedirect: returnRedirect},
+		plainClient: answer.NewClient(dialer.Transport(options.Dial)),
 		calls:       map[string]*call{},
 		content:     newContentGate(options.Content),
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -45,10 +45,6 @@
 // ownHeaders are the headers of answers that only this host may set.
 var ownHeaders = []string{runHeader, replayedHeader, omittedHeader}
 
-// returnRedirect makes a client return redirects to the caller instead of
-// following them.
-func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // plainCall is one call to a plain service: a service with configured routes
 // whose upstreams are not engines.
 type plainCall struct {
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
@@ -110,7 +111,7 @@
 	if options.Transport == nil {
 		options.Transport = http.DefaultTransport.(*http.Transport).Clone()
 	}
-	c := &Client{options: options, http: &http.Client{Transport: options.Transport, CheckRedirect: noRedirect}}
+	c := &Client{options: options, http: answer.NewClient(options.Transport)}
 	for _, address := range options.Addresses {
 		u, err := url.Parse(address)
 		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
@@ -121,9 +122,6 @@
 	return c, nil
 }
 
-// noRedirect disables redirects, which would send a write a second time.
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
 	reply, err := c.read(ctx, "get", "/kv/"+url.PathEscape(key))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/drain"
@@ -227,14 +228,11 @@
 	}
 	return &Server{
 		options: o, started: time.Now(), random: o.Random, metrics: newMetrics(o.Metrics),
-		client:  &http.Client{Transport: dialer.Transport(dial), CheckRedirect: returnRedirect},
+		client:  answer.NewClient(dialer.Transport(dial)),
 		buffers: sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }},
 	}
 }
 
-// returnRedirect returns redirects to the caller instead of following them.
-func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // InFlight returns the number of requests that are being served.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
