answer: a reply counts only as a whole, and up to a size that it can have

What was seen: an order, a reservation or its release counted as done when the body of the 200 was cut, was no JSON, or had no end; a load query took the first value of its answer, whatever followed or was missing. Cause: replies to orders were read to be thrown away, up to a limit at which they counted as whole; queries used a decoder that stops after the first value. Change: answer.Read, Decode and Acknowledged read the replies of engines and stores in both daemons: to their end, within a limit that fits what they hold, as one JSON value.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -22,9 +21,12 @@
 	// headerTimeout bounds the wait for the response header of a stream. Engines
 	// send it before the prefill, so a longer wait means that the engine hangs.
 	headerTimeout = 5 * time.Second
-	// maxControlBody bounds the body of an error and of the answer to any call
-	// other than a stream, in bytes.
-	maxControlBody = 8 << 20
+	// maxReplyBody bounds the body of an error and of the answer to a call that returns
+	// nothing, maxReportBody that of a load report, which lists the models of an engine,
+	// and maxListBody that of a list of streams or cache events, in bytes.
+	maxReplyBody  = 64 << 10
+	maxReportBody = 1 << 20
+	maxListBody   = 8 << 20
 )
 
 // Client calls engines over HTTP.
@@ -141,8 +143,7 @@
 func readFailure(resp *http.Response) failure {
 	defer func() { _ = resp.Body.Close() }()
 	var f failure
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBody))
-	if err != nil || json.Unmarshal(data, &f) != nil || f.Error == "" {
+	if answer.Decode(resp, maxReplyBody, &f) != nil || f.Error == "" {
 		f.Error = resp.Status
 	}
 	return f
@@ -182,9 +183,24 @@
 	return fault.New(kind, "upstream answered %d: %s", status, f.Error)
 }
 
-// control makes a call bounded by controlTimeout. It sends in, unless in is nil,
-// and decodes the answer into out, unless out is nil.
-func (c *Client) control(ctx context.Context, method, address, path string, in, out any) error {
+// order makes a call that asks an engine to do something, and sends in unless it is nil.
+func (c *Client) order(ctx context.Context, method, address, path string, in any) error {
+	return c.control(ctx, method, address, path, in, func(resp *http.Response) error {
+		return answer.Acknowledged(resp, maxReplyBody)
+	})
+}
+
+// query makes a call that asks an engine for something, and decodes the answer, which has
+// up to limit bytes, into out.
+func (c *Client) query(ctx context.Context, address, path string, limit int64, out any) error {
+	return c.control(ctx, http.MethodGet, address, path, nil, func(resp *http.Response) error {
+		return answer.Decode(resp, limit, out)
+	})
+}
+
+// control makes a call bounded by controlTimeout. It sends in, unless in is nil, and reads
+// the body of a success with read.
+func (c *Client) control(ctx context.Context, method, address, path string, in any, read func(*http.Response) error) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	var body []byte
@@ -206,18 +222,13 @@
 		return statusError(resp)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if out == nil {
-		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxControlBody))
-	} else {
-		err = json.NewDecoder(io.LimitReader(resp.Body, maxControlBody)).Decode(out)
-	}
-	return fault.Wrap(fault.UpstreamLost, err, "reading the answer of %s", address)
+	return fault.Wrap(fault.UpstreamLost, read(resp), "reading the answer of %s", address)
 }
 
 // Cancel ends a stream and frees its memory. It is not an error when the engine
 // does not have the stream.
 func (c *Client) Cancel(ctx context.Context, address, id string) error {
-	err := c.control(ctx, http.MethodDelete, address, "/v1/streams/"+url.PathEscape(id), nil, nil)
+	err := c.order(ctx, http.MethodDelete, address, "/v1/streams/"+url.PathEscape(id), nil)
 	if fault.Is(err, fault.NotFound) {
 		return nil
 	}
@@ -231,7 +242,7 @@
 	var out struct {
 		Streams []Stream `json:"streams"`
 	}
-	err := c.control(ctx, http.MethodGet, address, "/v1/streams", nil, &out)
+	err := c.query(ctx, address, "/v1/streams", maxListBody, &out)
 	return slices.DeleteFunc(out.Streams, func(s Stream) bool { return s.Done || !s.valid() }), err
 }
 
@@ -239,7 +250,7 @@
 // report that no engine can give.
 func (c *Client) Load(ctx context.Context, address string) (LoadReport, error) {
 	var out LoadReport
-	if err := c.control(ctx, http.MethodGet, address, "/v1/load", nil, &out); err != nil {
+	if err := c.query(ctx, address, "/v1/load", maxReportBody, &out); err != nil {
 		return LoadReport{}, err
 	}
 	if !out.valid() {
@@ -255,7 +266,7 @@
 		Events []CacheEvent `json:"events"`
 		Next   uint64       `json:"next"`
 	}
-	err := c.control(ctx, http.MethodGet, address, fmt.Sprintf("/v1/cache/events?after=%d", after), nil, &out)
+	err := c.query(ctx, address, fmt.Sprintf("/v1/cache/events?after=%d", after), maxListBody, &out)
 	return out.Events, out.Next, err
 }
 
@@ -266,13 +277,13 @@
 		Tokens    int    `json:"tokens"`
 		TTLMillis int64  `json:"ttl_ms"`
 	}{id, tokens, ttl.Milliseconds()}
-	return c.control(ctx, http.MethodPost, address, "/v1/reservations", body, nil)
+	return c.order(ctx, http.MethodPost, address, "/v1/reservations", body)
 }
 
 // Unreserve ends a reservation. It is not an error when the engine does not have
 // the reservation.
 func (c *Client) Unreserve(ctx context.Context, address, id string) error {
-	err := c.control(ctx, http.MethodDelete, address, "/v1/reservations/"+url.PathEscape(id), nil, nil)
+	err := c.order(ctx, http.MethodDelete, address, "/v1/reservations/"+url.PathEscape(id), nil)
 	if fault.Is(err, fault.NotFound) {
 		return nil
 	}
@@ -282,7 +293,7 @@
 // Order sends an order with its fencing number. The error Stale means that the
 // engine has accepted an order with a higher number.
 func (c *Client) Order(ctx context.Context, address string, order Order) error {
-	err := c.control(ctx, http.MethodPost, address, "/v1/orders", order, nil)
+	err := c.order(ctx, http.MethodPost, address, "/v1/orders", order)
 	if fault.Is(err, fault.Conflict) {
 		return fault.Wrap(fault.Stale, err, "order with fencing number %d refused", order.Fence)
 	}
--- a/internal/engine/raw_test.go
+++ b/internal/engine/raw_test.go
@@ -110,3 +110,83 @@
 		})
 	}
 }
+
+// endless sends text again and again until the connection is closed, and returns how many
+// bytes were taken.
+func endless(c net.Conn, text string) (taken int) {
+	for {
+		n, err := io.WriteString(c, text)
+		taken += n
+		if err != nil {
+			return taken
+		}
+	}
+}
+
+// Guards against bodies that are no answers and count as success: a part of one, other
+// bytes, or bytes without end, of which only a bounded number may be read.
+func TestBodyOfControlAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	chunk := "10000\r\n" + strings.Repeat("x", 1<<16) + "\r\n"
+	cases := map[string]struct {
+		answer string
+		// rest follows without end, unless it is empty.
+		rest string
+		// orders and queries are the kinds of the errors of the calls that ask an engine
+		// to do or to tell something, 0 for success.
+		orders, queries fault.Kind
+	}{
+		"whole":                       {head + "Content-Length: 11\r\n\r\n{\"fence\":1}", "", 0, 0},
+		"whole, no length":            {head + "Connection: close\r\n\r\n{\"fence\":1}", "", 0, 0},
+		"whole, chunks":               {head + "Transfer-Encoding: chunked\r\n\r\n1\r\n{\r\n1\r\n}\r\n0\r\n\r\n", "", 0, 0},
+		"nothing":                     {"HTTP/1.1 204 Done\r\n\r\n", "", 0, fault.UpstreamLost},
+		"nothing, with a length":      {head + "Content-Length: 0\r\n\r\n", "", 0, fault.UpstreamLost},
+		"nothing, no length":          {head + "\r\n", "", fault.UpstreamLost, fault.UpstreamLost},
+		"part":                        {head + "Content-Length: 11\r\n\r\n{}", "", fault.UpstreamLost, fault.UpstreamLost},
+		"part, no length":             {head + "\r\n{\"fence\":", "", fault.UpstreamLost, fault.UpstreamLost},
+		"part, chunks":                {head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", "", fault.UpstreamLost, fault.UpstreamLost},
+		"other bytes":                 {head + "Content-Length: 6\r\n\r\n<html>", "", fault.UpstreamLost, fault.UpstreamLost},
+		"bytes after it":              {head + "Content-Length: 6\r\n\r\n{}{}\r\n", "", fault.UpstreamLost, fault.UpstreamLost},
+		"without end":                 {head + "\r\n{\"a\":\"", "xxxxxxxxxxxxxxxx", fault.UpstreamLost, fault.UpstreamLost},
+		"without end, after a value":  {head + "\r\n{}", strings.Repeat(" ", 1<<16), fault.UpstreamLost, fault.UpstreamLost},
+		"without end, chunks":         {head + "Transfer-Encoding: chunked\r\n\r\n", chunk, fault.UpstreamLost, fault.UpstreamLost},
+		"without end, trailers":       {head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n", "A: " + strings.Repeat("x", 1<<10) + "\r\n", fault.UpstreamLost, fault.UpstreamLost},
+		"without end, a chunk's size": {head + "Transfer-Encoding: chunked\r\n\r\n2", strings.Repeat(";x", 1<<10), fault.UpstreamLost, fault.UpstreamLost},
+		"head without end":            {head, "A: " + strings.Repeat("x", 1<<10) + "\r\n", fault.UpstreamLost, fault.UpstreamLost},
+		"line of a head without end":  {head, strings.Repeat("x", 1<<10), fault.UpstreamLost, fault.UpstreamLost},
+		"heads without end":           {"", "HTTP/1.1 103 Early\r\nA: b\r\n\r\n", fault.UpstreamLost, fault.UpstreamLost},
+		"failure without end":         {"HTTP/1.1 500 Failed\r\n\r\n", strings.Repeat("x", 1<<10), fault.UpstreamFailed, fault.UpstreamFailed},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			taken := make(chan int, 1)
+			address := startRawEngine(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, tc.answer)
+				n := 0
+				if tc.rest != "" {
+					n = endless(c, tc.rest)
+				}
+				taken <- n
+			})
+			all := calls(t, NewClient(dialer.Transport(dialer.TCP)), address)
+			delete(all, "start")
+			for call, do := range all {
+				want := tc.orders
+				if call == "load" || call == "streams" || call == "events" {
+					want = tc.queries
+				}
+				err := do()
+				require.Equal(t, want == 0, err == nil, "%s: %v", call, err)
+				if want != 0 {
+					require.Equal(t, want, fault.KindOf(err), "%s: %v", call, err)
+				}
+				limit := 16 << 20
+				if call != "streams" && call != "events" {
+					limit = 6 << 20
+				}
+				// The kernel takes some megabytes beyond what the client reads.
+				require.Less(t, <-taken, limit, "bytes that %s took", call)
+			}
+		})
+	}
+}
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -389,7 +389,7 @@
 		}
 		return reply{}, statusError(response.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplySize))
+	body, err := answer.Read(response, maxReplySize)
 	if err != nil {
 		return reply{}, transportError(ctx, err, isWrite, true)
 	}
