platform: an upstream that sends malformed bytes runs

What callers could have seen: content held back because an engine that sends bytes of no kind counted as ended by it. Cause: the check whether an upstream runs wanted an answer. Bytes of no kind failed it before; malformed heads, which passed, failed it with the checks of package answer.

--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -101,6 +102,10 @@
 // maxQuoted is how much of a malformed line is quoted in an error, in bytes.
 const maxQuoted = 80
 
+// ErrMalformed is wrapped in the error of a connection on which bytes came that are no
+// answer. Their sender runs.
+var ErrMalformed = errors.New("malformed head")
+
 func malformed(what string, line []byte) error {
-	return fault.New(fault.UpstreamLost, "the head of the answer has a malformed %s: %q", what, line[:min(len(line), maxQuoted)])
+	return fault.Wrap(fault.UpstreamLost, ErrMalformed, "the head of the answer has a malformed %s: %q", what, line[:min(len(line), maxQuoted)])
 }
