answer: what answers hold counts towards one bound for the process

What callers would see: upstreams whose answers have no end, or stall before it, fill the memory of the machine; the process ends, and with it the requests of all callers. Cause: each answer had a limit, the process had none. A head of short lines takes over 20 times its size as a map, a list of empty objects 30 times when decoded, and a line of a stream could have 1 MiB. Change: heads, replies while they are read and decoded, events and lines count towards an eighth of the memory above 32 MiB, those of the platform towards a quarter. What finds no memory counts as a lost answer. The ports of a test's daemon are taken together, after one run in which the daemon could not listen on one of them (suspected: the same port drawn twice).

--- a/emul/system/crowd_test.go
+++ b/emul/system/crowd_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,17 +63,25 @@
 	// callers and operators are the addresses of the daemon's ports.
 	callers, operators string
 	client             *http.Client
+	// endless is what the faulty engines answer to some requests, or nil.
+	endless atomic.Pointer[endlessAnswer]
 }
 
-// freeAddress returns an address on which nobody listens.
-func freeAddress(t *testing.T) string {
-	for {
+// freeAddresses returns n addresses on which nobody listens.
+func freeAddresses(t *testing.T, n int) []string {
+	var listeners []net.Listener
+	for len(listeners) < n {
 		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portRange)))
 		if err == nil {
-			require.NoError(t, l.Close())
-			return l.Addr().String()
+			listeners = append(listeners, l)
 		}
 	}
+	addresses := make([]string, n)
+	for i, l := range listeners {
+		addresses[i] = l.Addr().String()
+		require.NoError(t, l.Close())
+	}
+	return addresses
 }
 
 // serve serves a stand-in and returns its address.
@@ -90,11 +99,14 @@
 }
 
 // startLoopback starts a daemon on a machine with the given memory in MiB and number of
-// descriptors, 0 for those of the system, and waits until it serves.
-func startLoopback(t *testing.T, binary string, memory, files int) *loopback {
+// descriptors, 0 for those of the system, and with faulty engines beside the sound one, and
+// waits until it serves.
+func startLoopback(t *testing.T, binary string, memory, files, faulty int) *loopback {
+	ports := freeAddresses(t, 3)
+	peers := ports[2]
 	d := &loopback{
 		t: t, group: group.New(context.Background()), logPath: filepath.Join(t.TempDir(), "log"),
-		callers: freeAddress(t), operators: freeAddress(t),
+		callers: ports[0], operators: ports[1],
 		// An ordinary caller that is new has no connection yet.
 		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
@@ -111,12 +123,18 @@
 		model.Run(ctx)
 		return nil
 	})
-	peers := freeAddress(t)
-	platform := d.serve(plat.New(log, plat.Config{Hosts: []plat.Host{
-		{Name: "engine", Role: "engine", Service: "drafting", Address: d.serve(standin.New(log, model)), FailureDomain: "d", State: "live"},
+	engine := standin.New(log, model)
+	hosts := []plat.Host{
+		{Name: "engine", Role: "engine", Service: "drafting", Address: d.serve(engine), FailureDomain: "d", State: "live"},
 		{Name: "desk", Role: "plain", Service: "order-desk", Address: d.serve(http.HandlerFunc(answerCrowd)), FailureDomain: "d", State: "live"},
 		{Name: "node", Role: "entry", Address: d.callers, PeerAddress: peers, FailureDomain: "d", State: "live"},
-	}}))
+	}
+	for i := range faulty {
+		hosts = append(hosts, plat.Host{
+			Name: fmt.Sprintf("faulty-%d", i), Role: "engine", Service: "drafting", Address: d.serve(d.withEndlessAnswers(engine, faultyPaths[i%len(faultyPaths)])), FailureDomain: "d", State: "live",
+		})
+	}
+	platform := d.serve(plat.New(log, plat.Config{Hosts: hosts}))
 	settings := fmt.Sprintf(`{
 		"name": "node", "failure_domain": "d", "platform": ["http://%s"], "insecure": true, "max_body_bytes": %d, "memory_limit_mib": %d,
 		"listen": %q, "peer_listen": %q, "admin_listen": %q,
@@ -243,7 +261,7 @@
 // Guards against limits that an ordinary caller meets: the largest body and a large answer
 // on the machine of the crowds, at the first attempt.
 func TestLargeRequestsInCalm(t *testing.T) {
-	d := startLoopback(t, buildDaemon(t), crowdMemory, crowdFiles)
+	d := startLoopback(t, buildDaemon(t), crowdMemory, crowdFiles, 0)
 	defer d.close()
 	for name, r := range shapedRequests() {
 		if strings.HasSuffix(name, "prompts") && name != "many prompts" {
@@ -288,7 +306,7 @@
 	cases["few descriptors, refused bodies"] = crowdCase{crowdConnections, crowdMemory, crowdFiles, crowd.Behaviour{}, []crowd.Request{{Head: "POST /none HTTP/1.1\r\nHost: a\r\n", Body: make([]byte, 1000)}}}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			d := startLoopback(t, binary, tc.memory, tc.files)
+			d := startLoopback(t, binary, tc.memory, tc.files, 0)
 			defer d.close()
 			meter := crowd.Watch(t.Context(), d.process)
 			clients, err := crowd.Play(t.Context(), d.callers, tc.clients, tc.behaviour, tc.requests...)
--- a/internal/answer/body.go
+++ b/internal/answer/body.go
@@ -1,6 +1,7 @@
 package answer
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -10,41 +11,68 @@
 )
 
 // Read reads the body of an answer to its end. The error is UpstreamLost if the body broke
-// off or has more than limit bytes, or if it is empty and nothing but the end of the
-// connection says so.
-func Read(resp *http.Response, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+// off, has more than limit bytes or finds no memory, or if it is empty and nothing but the
+// end of the connection says so.
+func (c *Client) Read(resp *http.Response, limit int64) ([]byte, error) {
+	hold := NewHold(c.memory)
+	defer hold.Release()
+	return read(resp, limit, hold)
+}
+
+func read(resp *http.Response, limit int64, hold *Hold) ([]byte, error) {
+	data, whole, err := ReadAll(resp.Body, limit+1, hold.Set)
 	switch {
 	case err != nil:
 		return nil, fault.Wrap(fault.UpstreamLost, err, "the answer broke off")
 	case int64(len(data)) > limit:
 		return nil, fault.New(fault.UpstreamLost, "the answer exceeds %d bytes", limit)
+	case !whole:
+		return nil, errNoMemory("the body of an answer")
 	case len(data) == 0 && header.EndsWithConnection(resp):
-		return nil, errNoBody()
+		return nil, fault.Wrap(fault.UpstreamLost, io.ErrUnexpectedEOF, "the connection was closed after the header of an answer without a length")
 	}
 	return data, nil
 }
 
 // Decode reads the body of an answer to its end and decodes the JSON value that it is. The
-// error is UpstreamLost for what Read refuses and for a body that is no such value.
-func Decode(resp *http.Response, limit int64, out any) error {
-	data, err := Read(resp, limit)
+// error is UpstreamLost for what Read refuses, and Invalid for a body that is no such value.
+func (c *Client) Decode(resp *http.Response, limit int64, out any) error {
+	hold := NewHold(c.memory)
+	defer hold.Release()
+	data, err := read(resp, limit, hold)
 	if err != nil {
 		return err
 	}
-	return fault.Wrap(fault.UpstreamLost, json.Unmarshal(data, out), "the answer cannot be decoded")
+	if len(data) > FreeBody && !hold.Set(int64(len(data))+decodedSize(data)) {
+		return errNoMemory("the values in an answer")
+	}
+	return fault.Wrap(fault.Invalid, json.Unmarshal(data, out), "the answer cannot be decoded")
+}
+
+const (
+	// objectSize and valueSize bound what an object and another value in a JSON text take
+	// once they are decoded, apart from their texts, in bytes. A slice that grows holds
+	// its elements up to twice.
+	objectSize = 512
+	valueSize  = 64
+)
+
+// decodedSize bounds what a JSON text takes once it is decoded, in bytes.
+func decodedSize(data []byte) int64 {
+	objects, values := bytes.Count(data, []byte("{")), bytes.Count(data, []byte(","))
+	return int64(len(data) + objectSize*objects + valueSize*values)
 }
 
 // Acknowledged reads the answer to a call that returns nothing to its end: it is empty or
 // a JSON value. The errors are those of Decode.
-func Acknowledged(resp *http.Response, limit int64) error {
-	data, err := Read(resp, limit)
+func (c *Client) Acknowledged(resp *http.Response, limit int64) error {
+	data, err := c.Read(resp, limit)
 	if err == nil && len(data) > 0 && !json.Valid(data) {
-		err = fault.New(fault.UpstreamLost, "the answer is no JSON value")
+		err = fault.New(fault.Invalid, "the answer is no JSON value")
 	}
 	return err
 }
 
-func errNoBody() error {
-	return fault.Wrap(fault.UpstreamLost, io.ErrUnexpectedEOF, "the connection was closed after the header of an answer without a length")
+func errNoMemory(what string) error {
+	return fault.New(fault.UpstreamLost, "this host has no memory for %s", what)
 }
--- a/internal/answer/conn.go
+++ b/internal/answer/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
@@ -20,6 +21,8 @@
 type conn struct {
 	net.Conn
 	head headReader
+	// hold is the memory of the head, until the connection is closed.
+	hold *Hold
 
 	// writing is held during a write. It guards the fields below.
 	writing sync.Mutex
@@ -37,7 +40,11 @@
 // The kernel reports a reset once: to the write, if that comes first, and the read then
 // returns the end of the answer. A write to a connection whose other end had ended its
 // answer before it reset the connection fails with EPIPE instead.
-func NewConn(c net.Conn) net.Conn { return &conn{Conn: c} }
+//
+// The head counts towards the memory as long as the connection is open.
+func NewConn(c net.Conn, memory Memory) net.Conn {
+	return &conn{Conn: c, hold: NewHold(memory)}
+}
 
 // Write implements net.Conn. Once the other end reads no more of the request, the rest is
 // discarded: an answer may come without the whole request, and the next read returns it
@@ -69,7 +76,7 @@
 // arrives is no answer.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if headErr := c.head.read(p[:n]); headErr != nil {
+	if headErr := c.readHead(p[:n]); headErr != nil {
 		return 0, headErr
 	}
 	if errors.Is(err, io.EOF) {
@@ -78,6 +85,26 @@
 	return n, err
 }
 
+// readHead checks and counts the bytes of the head in what has arrived.
+func (c *conn) readHead(p []byte) error {
+	if c.head.done {
+		return nil
+	}
+	if err := c.head.read(p); err != nil {
+		return err
+	}
+	if !c.hold.Set(header.Memory(c.head.size)) {
+		return errNoMemory("the head of an answer")
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.hold.Release()
+	return c.Conn.Close()
+}
+
 // end returns the error with which the answer ends.
 func (c *conn) end() error {
 	// A write in progress may know of a reset. It ends at once.
--- a/internal/answer/conn_test.go
+++ b/internal/answer/conn_test.go
@@ -8,13 +8,14 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/verbenapier/verbenapier/pkg/fault"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
 // connect returns the two ends of a TCP connection, the first of which is checked.
-func connect(t *testing.T) (checked net.Conn, other *net.TCPConn) {
+func connect(t *testing.T, memory Memory) (checked net.Conn, other *net.TCPConn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { require.NoError(t, l.Close()) }()
@@ -26,7 +27,7 @@
 		_ = raw.Close()
 		_ = accepted.Close()
 	})
-	return NewConn(raw), accepted.(*net.TCPConn)
+	return NewConn(raw, memory), accepted.(*net.TCPConn)
 }
 
 // Guards against a reset that the kernel reports to the writer of the request only, so
@@ -45,7 +46,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			checked, other := connect(t)
+			checked, other := connect(t, semaphore.NewWeighted(1<<20))
 			_, err := io.WriteString(other, head+"part")
 			require.NoError(t, err)
 			tc.finish(t, other)
@@ -69,7 +70,7 @@
 // Guards against an answer that is held back by a request which nobody reads.
 func TestAnswerEndsBeforeRequest(t *testing.T) {
 	const text = "HTTP/1.1 200 OK\r\n\r\nwhole"
-	checked, other := connect(t)
+	checked, other := connect(t, semaphore.NewWeighted(1<<20))
 	g := group.New(t.Context())
 	g.Go("request", func(context.Context) error {
 		_, err := checked.Write(make([]byte, 64<<20))
--- a/internal/answer/head.go
+++ b/internal/answer/head.go
@@ -17,6 +17,8 @@
 // responses, and that of the final one. It is stricter than net/http, which takes a name
 // with a blank for that of another field.
 type headReader struct {
+	// size is the number of bytes so far.
+	size int64
 	// line is the beginning of a line whose end has not arrived.
 	line []byte
 	// inFields is set between the status line and the blank line.
@@ -34,6 +36,7 @@
 func (h *headReader) read(p []byte) error {
 	for !h.done {
 		line, rest, ended := bytes.Cut(p, []byte("\n"))
+		h.size += int64(len(p) - len(rest))
 		if !ended {
 			h.line = append(h.line, line...)
 			return nil
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -21,6 +21,7 @@
 	"github.com/verbenapier/verbenapier/internal/entry"
 	"github.com/verbenapier/verbenapier/internal/member"
 	"github.com/verbenapier/verbenapier/internal/plat"
+	"github.com/verbenapier/verbenapier/internal/quota"
 	"github.com/verbenapier/verbenapier/internal/sched"
 	"github.com/verbenapier/verbenapier/internal/usage"
 	"github.com/verbenapier/verbenapier/pkg/confd"
@@ -131,7 +132,8 @@
 // benchPoller polls all engines of a cell once per operation.
 func benchPoller(b *testing.B, engines, events int) {
 	scheduler := sched.New(sched.Options{Cell: "c", RebuildWindow: -1, Log: quietLog(), Rand: rand.New(rand.NewPCG(1, 1))})
-	client := engine.NewClient(dialer.Transport(dialer.TCP))
+	memory := quota.UpstreamAnswers(1 << 30)
+	client := engine.NewClient(dialer.Transport(dialer.TCP, memory), memory)
 	stub := newStubEngine(b, events)
 	infos := make([]sched.EngineInfo, engines)
 	pollers := make([]*poller, engines)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/verbenapier/verbenapier/internal/alarm"
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/internal/claims"
 	"github.com/verbenapier/verbenapier/internal/config"
 	"github.com/verbenapier/verbenapier/internal/crash"
@@ -87,11 +88,13 @@
 	entry      *entry.Server
 	drain      *drain.Drain
 	quota      *quota.Quota
-	claims     *claims.Log
-	poison     *poison.Registry
-	content    *crash.Registry
-	limits     *limits.Limiter
-	alarms     *alarm.Monitor
+	// answers is the memory of answers of upstreams.
+	answers answer.Memory
+	claims  *claims.Log
+	poison  *poison.Registry
+	content *crash.Registry
+	limits  *limits.Limiter
+	alarms  *alarm.Monitor
 
 	meter         *meter.Meter
 	metrics       tally.Scope
@@ -127,8 +130,10 @@
 	d.quota = quota.New(quota.Options{
 		Memory: int64(settings.MemoryLimit) << 20, Files: quota.Files(settings.MaxOpenFiles), Log: d.log, Metrics: d.metrics.SubScope("clients"),
 	})
+	d.answers = quota.UpstreamAnswers(int64(settings.MemoryLimit) << 20)
+	platformAnswers := quota.PlatformAnswers(int64(settings.MemoryLimit) << 20)
 	d.store, err = plat.NewClient(plat.Options{
-		Addresses: settings.Platform, Transport: dialer.Transport(network.Dial), Scope: d.metrics.SubScope("platform"), Log: d.log,
+		Addresses: settings.Platform, Transport: dialer.Transport(network.Dial, platformAnswers), Memory: platformAnswers, Scope: d.metrics.SubScope("platform"), Log: d.log,
 	})
 	if err != nil {
 		return nil, err
@@ -165,7 +170,7 @@
 	d.members.SetRevisions(d.config)
 	d.cells = &cellSet{
 		name: d.settings.Name, maxEngines: d.settings.CellEngines, hosts: d.hosts, members: d.members,
-		document: d.document, caller: d.peerClient, store: d.store, engines: engine.NewClient(dialer.Transport(d.network.Dial)), log: d.log,
+		document: d.document, caller: d.peerClient, store: d.store, engines: engine.NewClient(dialer.Transport(d.network.Dial, d.answers), d.answers), log: d.log,
 		metrics: d.metrics.SubScope("sched"), owned: map[string]*ownedCell{},
 	}
 	d.cells.register(d.mux)
@@ -188,7 +193,7 @@
 		Directory: &directory{
 			members: d.members.Members, hosts: d.hosts, failureDomain: d.settings.FailureDomain,
 		},
-		Drain: d.drain, Quota: d.quota, Dial: d.network.Dial, Group: d.group, Log: d.log, Metrics: d.metrics.SubScope("entry"),
+		Drain: d.drain, Quota: d.quota, Dial: d.network.Dial, Answers: d.answers, Group: d.group, Log: d.log, Metrics: d.metrics.SubScope("entry"),
 	})
 }
 
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -98,20 +98,20 @@
 // dial is Unreachable: the request was not sent.
 //
 // Its connections have bounded receive buffers, and what arrives on them is checked by
-// package answer. Each request opens its own connection. On a kept connection, a late
+// package answer, whose heads count towards memory. Each request opens its own connection. On a kept connection, a late
 // second copy of an answer would be taken for the answer to the next request, and net/http
 // would repeat some requests after the connection breaks.
-func Transport(dial Func) *http.Transport {
+func Transport(dial Func, memory answer.Memory) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return dialForAnswer(ctx, dial, address)
+			return dialForAnswer(ctx, dial, address, memory)
 		},
 		DialTLSContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			name, _, err := net.SplitHostPort(address)
 			if err != nil {
 				return nil, fault.Wrap(fault.Unreachable, err, "cannot connect to %s", address)
 			}
-			return dialForAnswer(ctx, Secure(dial, &tls.Config{ServerName: name, MinVersion: tls.VersionTLS12}), address)
+			return dialForAnswer(ctx, Secure(dial, &tls.Config{ServerName: name, MinVersion: tls.VersionTLS12}), address, memory)
 		},
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
@@ -119,8 +119,14 @@
 	}
 }
 
+// Client returns a client over Transport. The answers that it reads as a whole count
+// towards memory, too.
+func Client(dial Func, memory answer.Memory) *answer.Client {
+	return answer.NewClient(Transport(dial, memory), memory)
+}
+
 // dialForAnswer opens a connection for one request and its answer.
-func dialForAnswer(ctx context.Context, dial Func, address string) (net.Conn, error) {
+func dialForAnswer(ctx context.Context, dial Func, address string, memory answer.Memory) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	var conn net.Conn
@@ -132,5 +138,5 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Unreachable, err, "cannot connect to %s", address)
 	}
-	return answer.NewConn(conn), nil
+	return answer.NewConn(conn, memory), nil
 }
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
@@ -32,7 +33,7 @@
 	g.Go("server", func(context.Context) error { _ = server.Serve(l); return nil })
 	defer func() { require.NoError(t, g.Wait()) }()
 	defer func() { _ = server.Close() }()
-	client := &http.Client{Transport: Transport(TCP)}
+	client := &http.Client{Transport: Transport(TCP, semaphore.NewWeighted(1<<20))}
 	for i := range 4 {
 		path := fmt.Sprintf("/%d", i)
 		resp, err := client.Get("http://" + l.Addr().String() + path)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -31,12 +31,14 @@
 
 // Client calls engines over HTTP.
 type Client struct {
-	http *http.Client
+	http   *answer.Client
+	memory answer.Memory
 }
 
-// NewClient returns a client that sends through the given transport.
-func NewClient(transport http.RoundTripper) *Client {
-	return &Client{http: answer.NewClient(transport)}
+// NewClient returns a client that sends through the given transport. What it reads counts
+// towards memory.
+func NewClient(transport http.RoundTripper, memory answer.Memory) *Client {
+	return &Client{answer.NewClient(transport, memory), memory}
 }
 
 // ErrForeignRefusal is wrapped in the error when an engine refuses a call about a stream
@@ -67,7 +69,7 @@
 	watchdog := time.AfterFunc(headerTimeout, func() { cancel(ErrSilent) })
 	resp, err := c.post(ctx, address, path, body)
 	if err == nil && resp.StatusCode != http.StatusOK {
-		err = streamError(resp, id)
+		err = c.streamError(resp, id)
 	}
 	if err != nil {
 		err = causeOf(ctx, err)
@@ -75,7 +77,7 @@
 		cancel(nil)
 		return nil, err
 	}
-	return newReader(ctx, cancel, watchdog, resp.Body), nil
+	return newReader(ctx, cancel, watchdog, resp.Body, answer.NewHold(c.memory)), nil
 }
 
 // causeOf returns an error that wraps the reason why the context ended, or err when
@@ -140,22 +142,24 @@
 }
 
 // readFailure closes the response and returns the failure that it reports.
-func readFailure(resp *http.Response) failure {
+func (c *Client) readFailure(resp *http.Response) failure {
 	defer func() { _ = resp.Body.Close() }()
 	var f failure
-	if answer.Decode(resp, maxReplyBody, &f) != nil || f.Error == "" {
+	if c.http.Decode(resp, maxReplyBody, &f) != nil || f.Error == "" {
 		f.Error = resp.Status
 	}
 	return f
 }
 
 // statusError closes the response and returns the error that it reports.
-func statusError(resp *http.Response) error { return readFailure(resp).asError(resp.StatusCode) }
+func (c *Client) statusError(resp *http.Response) error {
+	return c.readFailure(resp).asError(resp.StatusCode)
+}
 
 // streamError is statusError for a call about a stream. The error is UpstreamLost if
 // the response does not name the stream.
-func streamError(resp *http.Response, id string) error {
-	f := readFailure(resp)
+func (c *Client) streamError(resp *http.Response, id string) error {
+	f := c.readFailure(resp)
 	err := f.asError(resp.StatusCode)
 	if f.ID != id && !fault.Is(err, fault.UpstreamFailed) {
 		return fault.Wrap(fault.UpstreamLost, ErrForeignRefusal, "upstream answered %d: %s", resp.StatusCode, f.Error)
@@ -186,7 +190,7 @@
 // order makes a call that asks an engine to do something, and sends in unless it is nil.
 func (c *Client) order(ctx context.Context, method, address, path string, in any) error {
 	return c.control(ctx, method, address, path, in, func(resp *http.Response) error {
-		return answer.Acknowledged(resp, maxReplyBody)
+		return c.http.Acknowledged(resp, maxReplyBody)
 	})
 }
 
@@ -194,7 +198,7 @@
 // up to limit bytes, into out.
 func (c *Client) query(ctx context.Context, address, path string, limit int64, out any) error {
 	return c.control(ctx, http.MethodGet, address, path, nil, func(resp *http.Response) error {
-		return answer.Decode(resp, limit, out)
+		return c.http.Decode(resp, limit, out)
 	})
 }
 
@@ -219,7 +223,7 @@
 		return SendError(err, address)
 	}
 	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices {
-		return statusError(resp)
+		return c.statusError(resp)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return fault.Wrap(fault.UpstreamLost, read(resp), "reading the answer of %s", address)
--- a/internal/engine/head_test.go
+++ b/internal/engine/head_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
@@ -39,7 +38,7 @@
 					_ = c.Close()
 				}
 			})
-			client := NewClient(dialer.Transport(dialer.TCP))
+			client := newClient()
 			for n := range len(head) + 1 {
 				cut.Store(int64(n))
 				r, err := client.Start(t.Context(), l.Addr().String(), StartRequest{ID: "s"})
--- a/internal/engine/load_test.go
+++ b/internal/engine/load_test.go
@@ -32,7 +32,7 @@
 		t.Run(name, func(t *testing.T) {
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, tc.body) }))
 			defer server.Close()
-			_, err := NewClient(http.DefaultTransport).Load(t.Context(), server.Listener.Addr().String())
+			_, err := newClient().Load(t.Context(), server.Listener.Addr().String())
 			require.Equal(t, tc.ok, err == nil, "%v", err)
 		})
 	}
@@ -41,7 +41,7 @@
 			_, _ = io.WriteString(w, `{"streams":[{"id":"a","tokens_held":-5},{"id":"b","tokens_held":5},{"id":"c","tokens_held":9223372036854775807}]}`)
 		}))
 		defer server.Close()
-		streams, err := NewClient(http.DefaultTransport).Streams(t.Context(), server.Listener.Addr().String())
+		streams, err := newClient().Streams(t.Context(), server.Listener.Addr().String())
 		require.NoError(t, err)
 		require.Equal(t, []Stream{{ID: "b", TokensHeld: 5}}, streams)
 	})
--- a/internal/engine/raw_test.go
+++ b/internal/engine/raw_test.go
@@ -10,12 +10,19 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
+// newClient returns a client of a process with plenty of memory.
+func newClient() *Client {
+	memory := semaphore.NewWeighted(64 << 20)
+	return NewClient(dialer.Transport(dialer.TCP, memory), memory)
+}
+
 // startRawEngine starts an engine that reads the head of a request on each connection,
 // calls answer with it and closes it. It returns the engine's address.
 func startRawEngine(t *testing.T, answer func(c net.Conn)) string {
@@ -99,7 +106,7 @@
 			other := startRawEngine(t, func(net.Conn) { t.Error("a call was sent on to another address") })
 			head := strings.Replace(tc.head, "//other/", "//"+other+"/", 1)
 			address := startRawEngine(t, func(c net.Conn) { _, _ = io.WriteString(c, head+body) })
-			for call, do := range calls(t, NewClient(dialer.Transport(dialer.TCP)), address) {
+			for call, do := range calls(t, newClient(), address) {
 				err := do()
 				if tc.ok {
 					require.NoError(t, err, call)
@@ -168,7 +175,7 @@
 				}
 				taken <- n
 			})
-			all := calls(t, NewClient(dialer.Transport(dialer.TCP)), address)
+			all := calls(t, newClient(), address)
 			delete(all, "start")
 			for call, do := range all {
 				want := tc.orders
--- a/internal/engine/refusal_test.go
+++ b/internal/engine/refusal_test.go
@@ -39,7 +39,7 @@
 				_, _ = io.WriteString(w, tc.body)
 			}))
 			defer server.Close()
-			client, address := NewClient(http.DefaultTransport), server.Listener.Addr().String()
+			client, address := newClient(), server.Listener.Addr().String()
 			_, err := client.Start(t.Context(), address, StartRequest{ID: "a"})
 			require.Equal(t, tc.kind, fault.KindOf(err), "%v", err)
 			require.Equal(t, tc.kind == fault.UpstreamLost, errors.Is(err, ErrForeignRefusal))
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -140,8 +140,8 @@
 			BodyTimeout: time.Minute, WriteTimeout: time.Minute,
 		},
 		Configuration: fixedConfig{testDocument()}, Cells: &fixedCells{address: address},
-		Engines: clientEngines{engine.NewClient(transport)}, Quarantine: admitAll{f}, Content: nodeContent{crash.NewTracker()}, Admission: f,
-		Claims: noClaims{}, Directory: f, Drain: drain.New(log), Quota: newQuota(log, 4<<30), Dial: dialer.TCP, Group: g, Log: log, Metrics: tally.NoopScope,
+		Engines: clientEngines{engine.NewClient(transport, newAnswers())}, Quarantine: admitAll{f}, Content: nodeContent{crash.NewTracker()}, Admission: f,
+		Claims: noClaims{}, Directory: f, Drain: drain.New(log), Quota: newQuota(log, 4<<30), Dial: dialer.TCP, Answers: newAnswers(), Group: g, Log: log, Metrics: tally.NoopScope,
 	})
 	b.Cleanup(func() {
 		g.Stop()
@@ -211,7 +211,7 @@
 		}
 	}))
 	b.Cleanup(upstream.Close)
-	s := benchServer(b, dialer.Transport(dialer.TCP), upstream.Listener.Addr().String())
+	s := benchServer(b, dialer.Transport(dialer.TCP, newAnswers()), upstream.Listener.Addr().String())
 	front := httptest.NewServer(s)
 	b.Cleanup(front.Close)
 	client := front.Client()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -185,8 +185,10 @@
 	Drain *drain.Drain
 	// Quota bounds what callers make the process hold.
 	Quota *quota.Quota
-	// Dial opens connections to plain upstreams.
+	// Dial opens connections to plain upstreams. Answers bounds what their answers hold
+	// apart from the requests.
 	Dial    dialer.Func
+	Answers answer.Memory
 	Group   *group.Group
 	Log     logrus.FieldLogger
 	Metrics tally.Scope
@@ -233,7 +235,7 @@
 		options:     options,
 		tokens:      newTokenEstimator(),
 		grants:      newGrantSet(options.Name, options.Incarnation),
-		plainClient: answer.NewClient(dialer.Transport(options.Dial)),
+		plainClient: dialer.Client(options.Dial, options.Answers).Client,
 		calls:       map[string]*call{},
 		content:     newContentGate(options.Content),
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/drain"
@@ -64,10 +65,13 @@
 			BodyTimeout: time.Second, WriteTimeout: time.Second,
 		},
 		Configuration: fixedConfig{doc}, Cells: f, Engines: f, Quarantine: admitAll{f}, Content: nodeContent{crash.NewTracker()}, Admission: f,
-		Claims: noClaims{}, Directory: f, Drain: drain.New(log), Quota: newQuota(log, 64<<20), Dial: dialer.TCP, Group: g, Log: log, Metrics: tally.NoopScope,
+		Claims: noClaims{}, Directory: f, Drain: drain.New(log), Quota: newQuota(log, 64<<20), Dial: dialer.TCP, Answers: newAnswers(), Group: g, Log: log, Metrics: tally.NoopScope,
 	})
 }
 
+// newAnswers returns the bound on answers of a host with plenty of memory.
+func newAnswers() answer.Memory { return quota.UpstreamAnswers(1 << 30) }
+
 // newQuota returns the quota of a host with the given memory in bytes.
 func newQuota(log logrus.FieldLogger, memory int64) *quota.Quota {
 	return quota.New(quota.Options{Memory: memory, Files: 1024, Log: log, Metrics: tally.NoopScope})
--- a/internal/gate/adapter.go
+++ b/internal/gate/adapter.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/internal/crash"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/feed"
@@ -24,6 +25,9 @@
 	// Store is the address of the platform's metadata store.
 	Store string
 	Dial  dialer.Func
+	// UpstreamAnswers and StoreAnswers bound what answers of upstreams and of the store
+	// hold while they are read.
+	UpstreamAnswers, StoreAnswers answer.Memory
 	// Notices collects what the answers of upstreams say of further requests.
 	Notices *place.Notices
 	Metrics tally.Scope
--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -122,9 +122,10 @@
 	g.quota = quota.New(quota.Options{
 		Memory: int64(s.MemoryLimit) << 20, Files: quota.Files(s.MaxOpenFiles), Log: g.log, Metrics: metrics.SubScope("clients"),
 	})
+	answers := quota.UpstreamAnswers(int64(s.MemoryLimit) << 20)
 	g.notices = place.NewNotices(newRandom(), g.log)
 	g.adapter = o.Adapter(AdapterOptions{
-		Store: s.Store, Dial: o.Network.Dial, Notices: g.notices, Metrics: metrics.SubScope("store"), Log: g.log,
+		Store: s.Store, Dial: o.Network.Dial, UpstreamAnswers: answers, StoreAnswers: quota.PlatformAnswers(int64(s.MemoryLimit) << 20), Notices: g.notices, Metrics: metrics.SubScope("store"), Log: g.log,
 	})
 	g.peerClient = wire.NewClient(g.group, o.Network.Dial)
 	g.peerClient.SetName(s.Name)
@@ -140,7 +141,7 @@
 	g.relay = relay.New(relay.Options{
 		Codec: g.adapter.Codec, Placer: g.places, Reserver: g.adapter.Reserver, Drain: g.drain, Quota: g.quota, Group: g.group, Table: g.state.Table, ConfigAge: g.feed.Age, UpstreamID: g.state.UpstreamID,
 		Budget: retry.New(s.RetryRatio, s.RetryAllowance, s.RetryWindow, func() int { return len(g.members.Members()) }),
-		Dial:   o.Network.Dial, Random: newRandom(), Log: g.log, Metrics: metrics.SubScope("relay"),
+		Dial:   o.Network.Dial, Answers: answers, Random: newRandom(), Log: g.log, Metrics: metrics.SubScope("relay"),
 	})
 	return g
 }
--- a/internal/header/header.go
+++ b/internal/header/header.go
@@ -7,6 +7,18 @@
 	"strings"
 )
 
+const (
+	// freeHead is the size of a head that is held with its connection, in bytes. A larger
+	// one takes up to headFactor bytes for each when it is decoded, as a map of many short
+	// lines does.
+	freeHead   = 4 << 10
+	headFactor = 24
+)
+
+// Memory returns what a head of the given size takes beyond what is held with its
+// connection, both in bytes.
+func Memory(size int64) int64 { return max(0, size-freeHead) * headFactor }
+
 // notForwarded lists the headers that are not forwarded: the hop-by-hop headers,
 // which apply to a single connection, and Content-Length and Expect, which concern
 // the transfer of a body on a single connection.
--- a/internal/plat/client.go
+++ b/internal/plat/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/pkg/fault"
@@ -48,6 +49,8 @@
 	// Transport sends the requests. Nil means a clone of
 	// http.DefaultTransport.
 	Transport http.RoundTripper
+	// Memory bounds what replies that are being read hold. Nil means maxReplySize.
+	Memory answer.Memory
 	// CallTimeout bounds each attempt of a call. A watch is bounded by its wait
 	// plus CallTimeout. Zero means 2 s.
 	CallTimeout time.Duration
@@ -74,7 +77,7 @@
 type Client struct {
 	options Options
 	bases   []string
-	http    *http.Client
+	http    *answer.Client
 	// preferred, modulo the number of addresses, is the index of the address to
 	// use. It advances after a failure.
 	preferred atomic.Uint32
@@ -111,7 +114,10 @@
 	if options.Transport == nil {
 		options.Transport = http.DefaultTransport.(*http.Transport).Clone()
 	}
-	c := &Client{options: options, http: answer.NewClient(options.Transport)}
+	if options.Memory == nil {
+		options.Memory = semaphore.NewWeighted(maxReplySize)
+	}
+	c := &Client{options: options, http: answer.NewClient(options.Transport, options.Memory)}
 	for _, address := range options.Addresses {
 		u, err := url.Parse(address)
 		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
@@ -389,7 +395,7 @@
 		}
 		return reply{}, statusError(response.StatusCode)
 	}
-	body, err := answer.Read(response, maxReplySize)
+	body, err := c.http.Read(response, maxReplySize)
 	if err != nil {
 		return reply{}, transportError(ctx, err, isWrite, true)
 	}
--- a/internal/quota/body.go
+++ b/internal/quota/body.go
@@ -8,13 +8,14 @@
 	"os"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/internal/drain"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
 const (
 	// freeBody is the size of a body that is held with its connection, in bytes.
-	freeBody = 16 << 10
+	freeBody = answer.FreeBody
 	// firstBuffer is the size of the first buffer for a body of unknown length.
 	firstBuffer = 4 << 10
 )
@@ -173,27 +174,13 @@
 // reserves. It ends early if there is no memory; whole reports whether the end of the
 // source was reached.
 func (h *Hold) ReadAll(source io.Reader, limit int64, grow func(n int64) bool) (data []byte, whole bool, err error) {
-	data = make([]byte, 0, min(firstBuffer, limit))
-	for {
-		n, err := source.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		if errors.Is(err, io.EOF) {
-			return data, true, nil
-		}
-		if err != nil {
-			return data, false, err
+	base := h.bytes
+	return answer.ReadAll(source, limit, func(n int64) bool {
+		more := base + n - h.bytes
+		if more > 0 {
+			return grow(more)
 		}
-		if int64(len(data)) == limit {
-			return data, false, nil
-		}
-		if len(data) < cap(data) {
-			continue
-		}
-		before, size := h.bytes, min(2*int64(cap(data)), limit)
-		if size > freeBody && !grow(size) {
-			return data, false, nil
-		}
-		data = append(make([]byte, 0, size), data...)
-		h.Shrink(before)
-	}
+		h.Shrink(-more)
+		return true
+	})
 }
--- a/internal/quota/conn.go
+++ b/internal/quota/conn.go
@@ -10,13 +10,7 @@
 	"time"
 
 	"github.com/verbenapier/verbenapier/internal/dialer"
-)
-
-const (
-	// freeHead is the size of the headers that are held with the connection. Larger
-	// ones hold headFactor bytes for each: a map of many short lines takes as much.
-	freeHead   = 4 << 10
-	headFactor = 24
+	"github.com/verbenapier/verbenapier/internal/header"
 )
 
 // past is a read deadline that ends a read at once.
@@ -128,7 +122,7 @@
 		return false
 	}
 	c.headBytes += n
-	need := max(0, c.headBytes-freeHead)*headFactor - c.headHeld
+	need := header.Memory(c.headBytes) - c.headHeld
 	if need <= 0 {
 		return true
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -104,11 +104,12 @@
 func TestHeadersCount(t *testing.T) {
 	q := newQuota(100)
 	c := q.add(waiting)
-	require.True(t, c.received(freeHead))
+	// A head of this size is free, and each byte beyond it takes 24.
+	require.True(t, c.received(4<<10))
 	before, _ := q.Held()
 	require.True(t, c.received(1000))
 	after, _ := q.Held()
-	require.Equal(t, int64(1000*headFactor), after-before)
+	require.Equal(t, int64(1000*24), after-before)
 	require.False(t, c.received(q.memory))
 	c.enter(serving)
 	c.enter(ended)
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/event"
 	"github.com/verbenapier/verbenapier/internal/header"
@@ -37,6 +38,8 @@
 // sends other bytes, counts as silent.
 func (c *call) forwardEvents(ctx context.Context, resp *http.Response, a *attempt, st *stream) error {
 	var splitter event.Splitter
+	hold := answer.NewHold(c.server.options.Answers)
+	defer hold.Release()
 	buf := c.server.buffers.Get().(*[]byte)
 	defer c.server.buffers.Put(buf)
 	timeout := c.stallTimeout()
@@ -46,6 +49,9 @@
 		n, err := resp.Body.Read(*buf)
 		splitter.Add((*buf)[:n])
 		idleBytes += n
+		if !hold.Set(eventMemory(splitter.Partial())) {
+			return fault.New(fault.UpstreamLost, "this host has no memory for an event of %d bytes", splitter.Partial())
+		}
 		wrote, progress, forwardErr := c.forwardBuffered(resp, a, st, &splitter)
 		switch {
 		case forwardErr != nil:
@@ -73,6 +79,15 @@
 	}
 }
 
+// eventMemory returns the memory of an event of which size bytes have arrived, in bytes. A
+// buffer that grows takes up to twice its content, and once more while it is copied.
+func eventMemory(size int) int64 {
+	if size <= answer.FreeBody {
+		return 0
+	}
+	return 3 * int64(size)
+}
+
 // forwardBuffered copies the complete events in the splitter to the caller. It
 // reports whether it wrote any, and whether one of them made progress.
 func (c *call) forwardBuffered(resp *http.Response, a *attempt, st *stream, splitter *event.Splitter) (wrote, progress bool, err error) {
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -164,7 +164,7 @@
 		Codec: headerCodec{}, Placer: g.placer, Reserver: g.engines, Group: g.group, Table: table,
 		ConfigAge: func() time.Duration { return 0 }, UpstreamID: func(string) string { return "" },
 		Budget: retry.New(1, 100, time.Minute, func() int { return 1 }),
-		Dial:   dialer.TCP, Random: rand.New(rand.NewPCG(1, 1)), Log: log,
+		Dial:   dialer.TCP, Answers: quota.UpstreamAnswers(1 << 30), Random: rand.New(rand.NewPCG(1, 1)), Log: log,
 	})
 	s := httptest.NewServer(server)
 	g.url = s.URL
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -191,9 +191,11 @@
 	UpstreamID func(address string) string
 	Budget     *retry.Budget
 	Dial       dialer.Func
-	Random     *rand.Rand
-	Log        logrus.FieldLogger
-	Metrics    tally.Scope
+	// Answers bounds what answers of upstreams hold apart from their requests.
+	Answers answer.Memory
+	Random  *rand.Rand
+	Log     logrus.FieldLogger
+	Metrics tally.Scope
 }
 
 // Server is the HTTP handler for requests of callers.
@@ -228,7 +230,7 @@
 	}
 	return &Server{
 		options: o, started: time.Now(), random: o.Random, metrics: newMetrics(o.Metrics),
-		client:  answer.NewClient(dialer.Transport(dial)),
+		client:  dialer.Client(dial, o.Answers).Client,
 		buffers: sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }},
 	}
 }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 root=$PWD
 # Tests that measure a process run one at a time, after the others.
-measured='^TestCrowd$'
+measured='^Test(Crowd|AnswersWithoutEnd)$'
 
 # Prints the -skip pattern of a module: one alternative for each of its tests in
 # KNOWN-RED.txt. Each level of a subtest's name is anchored, so that no other test matches.
