answer: the check of an answer's end moves to where answers are decided on

Cause: what counts as an answer was decided in dialer, relay and engine. Change: VerifyEnd moves from dialer to answer, with one error for an answer without a body. Two checks of statuses under 200, which no answer has any more, are gone.

--- a/internal/answer/body.go
+++ b/internal/answer/body.go
@@ -29,7 +29,7 @@
 	case !whole:
 		return nil, errNoMemory("the body of an answer")
 	case len(data) == 0 && header.EndsWithConnection(resp):
-		return nil, fault.Wrap(fault.UpstreamLost, io.ErrUnexpectedEOF, "the connection was closed after the header of an answer without a length")
+		return nil, errNoBody()
 	}
 	return data, nil
 }
@@ -73,6 +73,13 @@
 	return err
 }
 
+// errNoBody is the error of an answer without a length whose connection was closed after
+// its head.
+func errNoBody() error {
+	return fault.Wrap(fault.UpstreamLost, io.ErrUnexpectedEOF, "the connection was closed after the header of an answer without a length")
+}
+
+// errNoMemory is the error of an answer that would exceed the memory of all answers.
 func errNoMemory(what string) error {
 	return fault.New(fault.UpstreamLost, "this host has no memory for %s", what)
 }
--- a/internal/dialer/end.go
+++ b/internal/answer/end.go
@@ -1,9 +1,10 @@
-package dialer
+package answer
 
 import (
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -19,12 +20,12 @@
 // incomplete although it ended without an error. The system closes the connections of a
 // process that ends, so a body that ends with its connection counts as complete only if it
 // is not empty and its upstream still accepts connections.
-func VerifyEnd(ctx context.Context, dial Func, address string, resp *http.Response, empty bool) error {
+func VerifyEnd(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), address string, resp *http.Response, empty bool) error {
 	if !header.EndsWithConnection(resp) || resp.StatusCode >= http.StatusMultipleChoices {
 		return nil
 	}
 	if empty {
-		return fault.Wrap(fault.UpstreamLost, io.ErrUnexpectedEOF, "the connection was closed after the header of an answer without a length")
+		return errNoBody()
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -222,7 +222,7 @@
 	if err != nil {
 		return SendError(err, address)
 	}
-	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices {
+	if resp.StatusCode >= http.StatusMultipleChoices {
 		return c.statusError(resp)
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/entry/end.go
+++ b/internal/entry/end.go
@@ -7,7 +7,7 @@
 	"io"
 	"net/http"
 
-	"github.com/verbenapier/verbenapier/internal/dialer"
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
@@ -25,7 +25,7 @@
 	_, err := body.Peek(1)
 	switch {
 	case errors.Is(err, io.EOF):
-		err = dialer.VerifyEnd(ctx, p.server.options.Dial, address, resp, true)
+		err = answer.VerifyEnd(ctx, p.server.options.Dial, address, resp, true)
 	case err != nil:
 		err = fault.Wrap(fault.UpstreamLost, err, "the answer of service %s broke off", p.service)
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -13,7 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/verbenapier/verbenapier/internal/dialer"
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/internal/engine"
 	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/quota"
@@ -250,7 +250,7 @@
 	case !whole:
 		return Outcome{}, nil, fault.New(fault.UpstreamFailed, "the answer of service %s exceeds %d bytes", p.service, maxOutcomeBody)
 	}
-	if err := dialer.VerifyEnd(ctx, p.server.options.Dial, address, resp, len(body) == 0); err != nil {
+	if err := answer.VerifyEnd(ctx, p.server.options.Dial, address, resp, len(body) == 0); err != nil {
 		return Outcome{}, nil, err
 	}
 	return Outcome{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, resp.Header, nil
@@ -295,7 +295,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			err = dialer.VerifyEnd(ctx, p.server.options.Dial, address, resp, false)
+			err = answer.VerifyEnd(ctx, p.server.options.Dial, address, resp, false)
 			if err == nil {
 				return nil
 			}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/verbenapier/verbenapier/internal/answer"
-	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/event"
 	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/place"
@@ -181,7 +180,7 @@
 	case (header.EndsWithConnection(resp) || a.resumed) && !a.begun:
 		return fault.Wrap(fault.UpstreamLost, io.ErrUnexpectedEOF, "the stream ended before its first event")
 	}
-	if err := dialer.VerifyEnd(ctx, c.server.options.Dial, a.grant.Upstream.Address, resp, !a.begun); err != nil {
+	if err := answer.VerifyEnd(ctx, c.server.options.Dial, a.grant.Upstream.Address, resp, !a.begun); err != nil {
 		return err
 	}
 	c.sendHeader(resp)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -11,7 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/verbenapier/verbenapier/internal/dialer"
+	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/internal/header"
 	"github.com/verbenapier/verbenapier/internal/place"
 	"github.com/verbenapier/verbenapier/internal/quota"
@@ -207,8 +207,6 @@
 	switch {
 	case v.ID != "" && v.ID != c.meta.ID:
 		return fault.New(fault.UpstreamLost, "the answer belongs to another request")
-	case resp.StatusCode < http.StatusOK:
-		return fault.New(fault.UpstreamLost, "the upstream switched protocols, for which nobody asked")
 	case v.NotRun && resp.StatusCode < http.StatusBadRequest:
 		return fault.New(fault.UpstreamLost, "the answer with status %d states that the request was not run", resp.StatusCode)
 	case (v.NotRun || v.Misdirected) && c.meta.ID != "":
@@ -235,7 +233,7 @@
 	}
 	b := &bufferedResponse{
 		header: resp.Header, status: resp.StatusCode, body: body, hold: hold,
-		verifyEnd: func() error { return dialer.VerifyEnd(ctx, c.server.options.Dial, u.Address, resp, len(body) == 0) },
+		verifyEnd: func() error { return answer.VerifyEnd(ctx, c.server.options.Dial, u.Address, resp, len(body) == 0) },
 	}
 	if !whole {
 		b.rest = resp.Body
