relay: requests with one ID are placed under different ones

What was seen: a contained panic in place.recordEnd, 502 for the request, and an engine that counts as busy for longer. Cause: a request was placed under its ID, which callers choose, and a number within it. Two at a time with one ID, or none, took each other's grants. Change: the number counts the placements of the process. Measured: TestPlacementOfSameID failed with one ID and with none before.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -48,9 +48,6 @@
 	// attempts is how often the request was sent to an upstream. Upstreams that could
 	// not be reached are not counted.
 	attempts int
-	// placementRequests counts the requests to the scheduler; it makes their
-	// ids unique.
-	placementRequests int
 	// avoid lists the upstreams to which the request was already assigned.
 	avoid []string
 	// dispatched is set once an upstream may have run the request.
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -61,6 +61,17 @@
 	// ended holds the upstreams that were reported to have ended.
 	mu    sync.Mutex
 	ended []string
+	// placed counts the requests by the IDs under which they were placed.
+	placed map[string]int
+}
+
+func (p *orderedPlacer) recordPlaced(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.placed == nil {
+		p.placed = map[string]int{}
+	}
+	p.placed[id]++
 }
 
 func (p *orderedPlacer) Current(g place.Grant) bool { return g.Upstream.ID != p.expired }
@@ -75,6 +86,7 @@
 }
 
 func (p *orderedPlacer) Acquire(_ context.Context, req place.Request) (place.Verdict, error) {
+	p.recordPlaced(req.ID)
 	u, ok := p.next(req.Avoid)
 	switch {
 	case ok:
@@ -98,6 +110,7 @@
 }
 
 func (p *orderedPlacer) AcquirePlain(_ context.Context, id, _ string, _ crash.Content, avoid []string, _ time.Duration) (place.Verdict, error) {
+	p.recordPlaced(id)
 	if u, ok := p.next(avoid); ok {
 		return place.Verdict{Grant: &place.Grant{ID: id, Upstream: u}}, nil
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -212,6 +212,8 @@
 	inFlight    atomic.Int64
 	lastArrival atomic.Int64
 	stages      stageCounts
+	// placements counts the requests for an upstream. It makes their IDs unique.
+	placements atomic.Uint64
 	// leavingSince is when Leave was first called, or nil.
 	leavingSince atomic.Pointer[time.Time]
 	// cut is set once the connections of callers are closed, answered or not.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -160,10 +160,10 @@
 	}
 }
 
-// placementID returns a new ID under which the request is placed.
+// placementID returns a new ID under which the request is placed. Callers choose the IDs of
+// requests, so they may repeat one or leave it out.
 func (c *call) placementID() string {
-	c.placementRequests++
-	return c.meta.ID + "/" + strconv.Itoa(c.placementRequests)
+	return c.meta.ID + "/" + strconv.FormatUint(c.server.placements.Add(1), 10)
 }
 
 // failoverRequest builds the request that asks the scheduler for another engine. The
