Tests of answers: one stand-in for endless ones, trailers, TLS

Cause: two test packages had the same stand-in; trailers and HTTPS had no test with the connections of package answer. Change: crowd.Endless; TestTrailersAreDropped and TestTransportOverTLS, both handled before; a client's hold comes from the client.

--- a/emul/system/crowd_test.go
+++ b/emul/system/crowd_test.go
@@ -64,7 +64,7 @@
 	callers, operators string
 	client             *http.Client
 	// endless is what the faulty engines answer to some requests, or nil.
-	endless atomic.Pointer[endlessAnswer]
+	endless atomic.Pointer[crowd.Endless]
 }
 
 // freeAddresses returns n addresses on which nobody listens.
--- a/emul/system/endless_test.go
+++ b/emul/system/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -20,32 +19,10 @@
 	endlessClients = 320
 	// faultyEngines is the number of engines whose answers have no end.
 	faultyEngines = 40
-	// endlessTime is how long they send such answers, and stallPause the time between two
-	// bytes of one that stalls.
+	// endlessTime is how long they send such answers.
 	endlessTime = 2 * time.Second
-	stallPause  = 100 * time.Millisecond
 )
 
-// endlessAnswer is an answer without an end: text, and again without a pause or, if stalls
-// is set, one byte of it now and then.
-type endlessAnswer struct {
-	text, again string
-	stalls      bool
-}
-
-// send sends the answer until the connection is closed.
-func (a endlessAnswer) send(c net.Conn) {
-	_, err := io.WriteString(c, a.text)
-	for i := 0; err == nil; i++ {
-		if !a.stalls {
-			_, err = io.WriteString(c, a.again)
-			continue
-		}
-		time.Sleep(stallPause)
-		_, err = io.WriteString(c, a.again[i%len(a.again):][:1])
-	}
-}
-
 // faultyPaths begin the paths of the requests to which faulty engines send endless answers,
 // each engine to those of one.
 var faultyPaths = []string{"/v1/streams", "/v1/load", "/v1/cache"}
@@ -61,30 +38,26 @@
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
 		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			endless.send(c)
+			endless.Send(c)
 			_ = c.Close()
 		}
 	})
 }
 
 // endlessAnswers returns, by name, answers without an end.
-func endlessAnswers() map[string]endlessAnswer {
+func endlessAnswers() map[string]crowd.Endless {
 	const status = "HTTP/1.1 200 OK\r\n"
 	filler := strings.Repeat("x", 64<<10)
-	var lines strings.Builder
-	for i := 0; lines.Len() < 60<<10; i++ {
-		fmt.Fprintf(&lines, "%x:\r\n", i)
-	}
-	return map[string]endlessAnswer{
-		"head of short lines":       {status + lines.String(), "x", true},
-		"line of a head":            {status + "A: " + filler[:60<<10], "x", true},
-		"body":                      {status + "\r\n", filler, false},
-		"body that stalls":          {status + "\r\n" + strings.Repeat(filler, 100), "x", true},
-		"list":                      {status + "\r\n{\"events\":[{}", strings.Repeat(",{}", 16<<10), false},
-		"list that ends":            {fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", status, 8_000_003+len(`{"events":[]}`), `{"events":[{}`+strings.Repeat(",{}", 2_666_667)+"]}"), "x", true},
-		"body of a failure":         {"HTTP/1.1 500 Failed\r\n\r\n", filler, false},
-		"failure that stalls":       {"HTTP/1.1 500 Failed\r\n\r\n" + strings.Repeat(filler, 100), "x", true},
-		"frames that are no tokens": {status + "\r\n", "{\"keepalive\":true}\n", false},
+	return map[string]crowd.Endless{
+		"head of short lines":       {Text: status + crowd.ShortLines(60<<10), Again: "x", Stalls: true},
+		"line of a head":            {Text: status + "A: " + filler[:60<<10], Again: "x", Stalls: true},
+		"body":                      {Text: status + "\r\n", Again: filler},
+		"body that stalls":          {Text: status + "\r\n" + strings.Repeat(filler, 100), Again: "x", Stalls: true},
+		"list":                      {Text: status + "\r\n{\"events\":[{}", Again: strings.Repeat(",{}", 16<<10)},
+		"list that ends":            {Text: fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", status, 8_000_003+len(`{"events":[]}`), `{"events":[{}`+strings.Repeat(",{}", 2_666_667)+"]}"), Again: "x", Stalls: true},
+		"body of a failure":         {Text: "HTTP/1.1 500 Failed\r\n\r\n", Again: filler},
+		"failure that stalls":       {Text: "HTTP/1.1 500 Failed\r\n\r\n" + strings.Repeat(filler, 100), Again: "x", Stalls: true},
+		"frames that are no tokens": {Text: status + "\r\n", Again: "{\"keepalive\":true}\n"},
 	}
 }
 
--- a/internal/answer/body.go
+++ b/internal/answer/body.go
@@ -14,7 +14,7 @@
 // off, has more than limit bytes or finds no memory, or if it is empty and nothing but the
 // end of the connection says so.
 func (c *Client) Read(resp *http.Response, limit int64) ([]byte, error) {
-	hold := NewHold(c.memory)
+	hold := c.Hold()
 	defer hold.Release()
 	return read(resp, limit, hold)
 }
@@ -37,7 +37,7 @@
 // Decode reads the body of an answer to its end and decodes the JSON value that it is. The
 // error is UpstreamLost for what Read refuses, and Invalid for a body that is no such value.
 func (c *Client) Decode(resp *http.Response, limit int64, out any) error {
-	hold := NewHold(c.memory)
+	hold := c.Hold()
 	defer hold.Release()
 	data, err := read(resp, limit, hold)
 	if err != nil {
--- a/internal/answer/client.go
+++ b/internal/answer/client.go
@@ -18,3 +18,6 @@
 	}
 	return &Client{client, memory}
 }
+
+// Hold returns a hold of nothing for an answer whose body is read in parts.
+func (c *Client) Hold() *Hold { return NewHold(c.memory) }
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -97,10 +97,10 @@
 // Transport returns an HTTP transport over dial, without a proxy. A failed
 // dial is Unreachable: the request was not sent.
 //
-// Its connections have bounded receive buffers, and what arrives on them is checked by
-// package answer, whose heads count towards memory. Each request opens its own connection. On a kept connection, a late
-// second copy of an answer would be taken for the answer to the next request, and net/http
-// would repeat some requests after the connection breaks.
+// Its connections have bounded receive buffers. Package answer checks what arrives on them,
+// and the heads of answers count towards memory. Each request opens its own connection. On
+// a kept connection, a late second copy of an answer would be taken for the answer to the
+// next request, and net/http would repeat some requests after the connection breaks.
 func Transport(dial Func, memory answer.Memory) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"encoding/pem"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -57,3 +61,19 @@
 		second = answer
 	}
 }
+
+// Guards against answers that are checked before they were decrypted.
+func TestTransportOverTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }))
+	defer server.Close()
+	roots := filepath.Join(t.TempDir(), "roots.pem")
+	require.NoError(t, os.WriteFile(roots, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}), 0o600))
+	t.Setenv("SSL_CERT_FILE", roots)
+	client := &http.Client{Transport: Transport(TCP, semaphore.NewWeighted(1<<20))}
+	resp, err := client.Get(server.URL)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(body))
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -31,14 +31,13 @@
 
 // Client calls engines over HTTP.
 type Client struct {
-	http   *answer.Client
-	memory answer.Memory
+	http *answer.Client
 }
 
 // NewClient returns a client that sends through the given transport. What it reads counts
 // towards memory.
 func NewClient(transport http.RoundTripper, memory answer.Memory) *Client {
-	return &Client{answer.NewClient(transport, memory), memory}
+	return &Client{answer.NewClient(transport, memory)}
 }
 
 // ErrForeignRefusal is wrapped in the error when an engine refuses a call about a stream
@@ -77,7 +76,7 @@
 		cancel(nil)
 		return nil, err
 	}
-	return newReader(ctx, cancel, watchdog, resp.Body, answer.NewHold(c.memory)), nil
+	return newReader(ctx, cancel, watchdog, resp.Body, c.http.Hold()), nil
 }
 
 // causeOf returns an error that wraps the reason why the context ended, or err when
--- a/internal/relay/malformed_test.go
+++ b/internal/relay/malformed_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -106,3 +107,33 @@
 		})
 	}
 }
+
+// Guards against trailers of an answer that reach the caller, malformed or not.
+func TestTrailersAreDropped(t *testing.T) {
+	for name, trailer := range map[string]string{
+		"sound":           "X-Note: 1\r\n",
+		"blank in a name": "X Note: 1\r\n",
+		"hidden length":   "Content-Length : 1\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway(t)
+			g.addUpstream("u1", func(c net.Conn) {
+				write(c, upstreamHead+"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"+trailer+"\r\n")
+			})
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, g.url+"/plain-once/x", http.NoBody)
+			require.NoError(t, err)
+			request.Host = "h"
+			resp, err := http.DefaultClient.Do(request)
+			require.NoError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, "whole", string(body))
+			require.Empty(t, resp.Trailer)
+			for field := range resp.Header {
+				require.NotContains(t, field, "Note")
+			}
+			require.Equal(t, "5", resp.Header.Get("Content-Length"))
+		})
+	}
+}
