engine: keepalive lines without a frame end a stream

Change: more than 128 KiB of them between two frames count as a lost stream, the bound that the gateway has for bytes between two events. It is enough for an hour's lines.

--- a/internal/engine/raw_test.go
+++ b/internal/engine/raw_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/semaphore"
@@ -197,3 +198,37 @@
 		})
 	}
 }
+
+// Guards against a stream that is kept although its engine sends nothing but bytes that
+// carry no token, at any speed and without end.
+func TestStreamWithoutFrames(t *testing.T) {
+	const keepalive, frame = "{\"keepalive\":true}\n", "{\"attempt\":1,\"text\":\"x\"}\n"
+	cases := map[string]struct {
+		text, rest string
+		frames     int
+	}{
+		"keepalives without end":                {"", strings.Repeat(keepalive, 1<<10), 0},
+		"keepalives without end, after a frame": {frame, strings.Repeat(keepalive, 1<<10), 1},
+		"line without end":                      {frame, strings.Repeat("x", 1<<10), 1},
+		"many keepalives between two frames":    {strings.Repeat(strings.Repeat(keepalive, 1<<12)+frame, 4) + "x\n", "x", 4},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			address := startRawEngine(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+tc.text)
+				endless(c, tc.rest)
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			r, err := newClient().Start(ctx, address, StartRequest{ID: "s"})
+			require.NoError(t, err)
+			defer r.Close()
+			for range tc.frames {
+				_, err := r.Next()
+				require.NoError(t, err)
+			}
+			_, err = r.Next()
+			require.Equal(t, fault.UpstreamLost, fault.KindOf(err), "%v", err)
+		})
+	}
+}
--- a/internal/engine/reader.go
+++ b/internal/engine/reader.go
@@ -21,8 +21,13 @@
 // long. The error of a connection that was closed does not wrap it.
 var ErrSilent = errors.New("connection is silent")
 
-// maxLine bounds one line of a stream, in bytes.
-const maxLine = 128 << 10
+const (
+	// maxLine bounds one line of a stream, in bytes.
+	maxLine = 128 << 10
+	// maxKeepalives bounds the keepalive lines between two frames, in bytes. It is enough
+	// for those of an hour.
+	maxKeepalives = 128 << 10
+)
 
 // Reader reads the frames of a stream. It is not safe for concurrent use.
 type Reader struct {
@@ -45,7 +50,7 @@
 // that the connection ended, or delivered nothing for silenceLimit, before the
 // last frame, or that a frame was malformed.
 func (r *Reader) Next() (Frame, error) {
-	for {
+	for keepalives := 0; keepalives <= maxKeepalives; {
 		line, err := r.readLine()
 		if err != nil {
 			return Frame{}, r.endError(err)
@@ -58,7 +63,9 @@
 		if !f.Keepalive {
 			return f, nil
 		}
+		keepalives += len(line)
 	}
+	return Frame{}, fault.New(fault.UpstreamLost, "the engine sent %d bytes of keepalive lines without a frame", maxKeepalives)
 }
 
 // readLine returns the next line, which is valid until the next call. The last line may
