answer: what replies take once they are decoded counts for all of them

What callers would see: a platform that lists 8 MB of empty hosts fills the memory of a small machine. Answers of upstreams have a sixteenth of the memory, which halves what their buffers leave to the collector.

--- a/emul/system/crowd_test.go
+++ b/emul/system/crowd_test.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,8 +62,9 @@
 	// callers and operators are the addresses of the daemon's ports.
 	callers, operators string
 	client             *http.Client
-	// endless is what the faulty engines answer to some requests, or nil.
-	endless atomic.Pointer[crowd.Endless]
+	// endless is what the faulty engines answer to some requests, and platformEndless what
+	// the platform answers to all.
+	endless, platformEndless crowd.Switch
 }
 
 // freeAddresses returns n addresses on which nobody listens.
@@ -131,10 +131,10 @@
 	}
 	for i := range faulty {
 		hosts = append(hosts, plat.Host{
-			Name: fmt.Sprintf("faulty-%d", i), Role: "engine", Service: "drafting", Address: d.serve(d.withEndlessAnswers(engine, faultyPaths[i%len(faultyPaths)])), FailureDomain: "d", State: "live",
+			Name: fmt.Sprintf("faulty-%d", i), Role: "engine", Service: "drafting", Address: d.serve(d.endless.Wrap(engine, faultyPaths[i%len(faultyPaths)])), FailureDomain: "d", State: "live",
 		})
 	}
-	platform := d.serve(plat.New(log, plat.Config{Hosts: hosts}))
+	platform := d.serve(d.platformEndless.Wrap(plat.New(log, plat.Config{Hosts: hosts}), "/"))
 	settings := fmt.Sprintf(`{
 		"name": "node", "failure_domain": "d", "platform": ["http://%s"], "insecure": true, "max_body_bytes": %d, "memory_limit_mib": %d,
 		"listen": %q, "peer_listen": %q, "admin_listen": %q,
--- a/emul/system/endless_test.go
+++ b/emul/system/endless_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -27,23 +25,6 @@
 // each engine to those of one.
 var faultyPaths = []string{"/v1/streams", "/v1/load", "/v1/cache"}
 
-// withEndlessAnswers returns a handler that sends endless answers to requests whose paths
-// begin as given, as long as there are any, and otherwise the answers of a sound engine.
-func (d *loopback) withEndlessAnswers(sound http.Handler, path string) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		endless := d.endless.Load()
-		if endless == nil || !strings.HasPrefix(r.URL.Path, path) {
-			sound.ServeHTTP(w, r)
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
-			endless.Send(c)
-			_ = c.Close()
-		}
-	})
-}
-
 // endlessAnswers returns, by name, answers without an end.
 func endlessAnswers() map[string]crowd.Endless {
 	const status = "HTTP/1.1 200 OK\r\n"
@@ -54,14 +35,32 @@
 		"body":                      {Text: status + "\r\n", Again: filler},
 		"body that stalls":          {Text: status + "\r\n" + strings.Repeat(filler, 100), Again: "x", Stalls: true},
 		"list":                      {Text: status + "\r\n{\"events\":[{}", Again: strings.Repeat(",{}", 16<<10)},
-		"list that ends":            {Text: fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", status, 8_000_003+len(`{"events":[]}`), `{"events":[{}`+strings.Repeat(",{}", 2_666_667)+"]}"), Again: "x", Stalls: true},
+		"list that ends":            emptyObjects("events"),
 		"body of a failure":         {Text: "HTTP/1.1 500 Failed\r\n\r\n", Again: filler},
 		"failure that stalls":       {Text: "HTTP/1.1 500 Failed\r\n\r\n" + strings.Repeat(filler, 100), Again: "x", Stalls: true},
 		"frames that are no tokens": {Text: status + "\r\n", Again: "{\"keepalive\":true}\n"},
 	}
 }
 
-// Guards against engines whose answers have no end and fill the memory of the machine,
+// emptyObjects returns a whole answer with a list of 8 MB, which takes many times its size
+// when it is decoded.
+func emptyObjects(key string) crowd.Endless {
+	list := fmt.Sprintf(`{%q:[{}%s]}`, key, strings.Repeat(",{}", 2_666_666))
+	return crowd.Endless{Text: fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list), Again: "x", Stalls: true}
+}
+
+// endlessReplies returns, by name, answers without an end of the platform.
+func endlessReplies() map[string]crowd.Endless {
+	answers := endlessAnswers()
+	return map[string]crowd.Endless{
+		"head of short lines": answers["head of short lines"],
+		"body":                answers["body"],
+		"entries that end":    emptyObjects("entries"),
+		"hosts that end":      emptyObjects("hosts"),
+	}
+}
+
+// Guards against engines, or a platform, whose answers have no end and fill the memory of the machine,
 // which ends the requests of all callers: the daemon lives on, stays within the memory, and
 // answers an ordinary call while they go on, and a prompt once they are sound.
 func TestAnswersWithoutEnd(t *testing.T) {
@@ -70,18 +69,29 @@
 		Head: fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\n", shopKey),
 		Body: []byte(`{"model":"draft","max_tokens":2,"prompt":"a berth"}`),
 	}
+	type endlessCase struct {
+		answer crowd.Endless
+		server func(d *loopback) *crowd.Switch
+	}
+	cases := map[string]endlessCase{}
 	for name, answer := range endlessAnswers() {
+		cases[name] = endlessCase{answer, func(d *loopback) *crowd.Switch { return &d.endless }}
+	}
+	for name, answer := range endlessReplies() {
+		cases["platform, "+name] = endlessCase{answer, func(d *loopback) *crowd.Switch { return &d.platformEndless }}
+	}
+	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			d := startLoopback(t, binary, crowdMemory, 0, faultyEngines)
 			defer d.close()
 			meter := crowd.Watch(t.Context(), d.process)
-			d.endless.Store(&answer)
+			tc.server(d).Set(&tc.answer)
 			clients, err := crowd.Play(t.Context(), d.callers, endlessClients, crowd.Behaviour{Complete: true}, prompt)
 			require.NoError(t, err)
 			require.True(t, group.Sleep(t.Context(), endlessTime))
 			d.awaitAnswer()
 			clients.Close()
-			d.endless.Store(nil)
+			tc.server(d).Set(nil)
 			d.awaitCompletion()
 			peak, err := meter.Peak()
 			require.NoError(t, err)
--- a/internal/answer/body.go
+++ b/internal/answer/body.go
@@ -11,14 +11,15 @@
 )
 
 // Read reads the body of an answer to its end. The error is UpstreamLost if the body broke
-// off, has more than limit bytes or finds no memory, or if it is empty and nothing but the
-// end of the connection says so.
+// off, has more than limit bytes, or is empty and nothing but the end of the connection says
+// so; and if there is no memory for it, or for the values in it once they are decoded.
 func (c *Client) Read(resp *http.Response, limit int64) ([]byte, error) {
 	hold := c.Hold()
 	defer hold.Release()
 	return read(resp, limit, hold)
 }
 
+// read is Read with a hold of the body and its values.
 func read(resp *http.Response, limit int64, hold *Hold) ([]byte, error) {
 	data, whole, err := ReadAll(resp.Body, limit+1, hold.Set)
 	switch {
@@ -30,6 +31,8 @@
 		return nil, errNoMemory("the body of an answer")
 	case len(data) == 0 && header.EndsWithConnection(resp):
 		return nil, errNoBody()
+	case len(data) > FreeBody && !hold.Set(int64(len(data))+decodedSize(data)):
+		return nil, errNoMemory("the values in an answer")
 	}
 	return data, nil
 }
@@ -43,9 +46,6 @@
 	if err != nil {
 		return err
 	}
-	if len(data) > FreeBody && !hold.Set(int64(len(data))+decodedSize(data)) {
-		return errNoMemory("the values in an answer")
-	}
 	return fault.Wrap(fault.Invalid, json.Unmarshal(data, out), "the answer cannot be decoded")
 }
 
--- a/internal/params/table.go
+++ b/internal/params/table.go
@@ -59,7 +59,7 @@
 		{Key: "read_timeout", Default: 30 * time.Second, Rule: strict.DurationBetween(time.Second, 10*time.Minute), Meaning: "time to read a whole request"},
 		{Key: "idle_timeout", Default: 2 * time.Minute, Rule: strict.DurationBetween(time.Second, time.Hour), Meaning: "time an idle caller's connection stays open"},
 		{Key: "max_requests", Default: 4096, Rule: strict.Between(1, maxRequests), Meaning: "callers' requests in flight on this host"},
-		{Key: "memory_limit_mib", Default: 1024, Rule: memoryLimit(), Meaning: "memory of the process, of which clients may hold half of what lies above 32 MiB, answers of upstreams an eighth and those of the platform a quarter; the collector works harder from 60% of it on"},
+		{Key: "memory_limit_mib", Default: 1024, Rule: memoryLimit(), Meaning: "memory of the process, of which clients may hold half of what lies above 32 MiB, answers of upstreams a sixteenth and those of the platform a quarter; the collector works harder from 60% of it on"},
 		{Key: "max_open_files", Default: 1 << 16, Rule: openFiles(), Meaning: "descriptors of the process, at most those that the system allows; a third of those above 200 are for clients' connections"},
 		{Key: "drain_timeout", Default: 15 * time.Minute, Rule: strict.DurationBetween(time.Second, 24*time.Hour), Meaning: "time a leaving host waits for its requests; at least the longest time limit of the services"},
 		{Key: "cell_engines", Default: defaultCellEngines, Rule: strict.Between(1, maxCellEngines), Meaning: "engines in a cell; the same on all hosts"},
--- a/internal/quota/answers.go
+++ b/internal/quota/answers.go
@@ -6,7 +6,7 @@
 	// Answers of upstreams and those of the platform that are being read hold these shares
 	// of the memory of a process above processMemory, but not less than minAnswers. The
 	// two are apart so that upstreams in trouble keep no configuration out.
-	upstreamShare = 0.125
+	upstreamShare = 0.0625
 	platformShare = 0.25
 	minAnswers    = 4 << 20
 )
