Tests of early and endless answers: chunks, lengths, and a plain service

Cause: sound early answers in chunks and with a length, and endless answers of the plain service of verbenapierd, had no test. Change: cases of TestEarlyAnswerIsWhole and requests of TestAnswersWithoutEnd.

--- a/emul/system/crowd_test.go
+++ b/emul/system/crowd_test.go
@@ -126,7 +126,7 @@
 	engine := standin.New(log, model)
 	hosts := []plat.Host{
 		{Name: "engine", Role: "engine", Service: "drafting", Address: d.serve(engine), FailureDomain: "d", State: "live"},
-		{Name: "desk", Role: "plain", Service: "order-desk", Address: d.serve(http.HandlerFunc(answerCrowd)), FailureDomain: "d", State: "live"},
+		{Name: "desk", Role: "plain", Service: "order-desk", Address: d.serve(d.endless.Wrap(http.HandlerFunc(answerCrowd), "/orders")), FailureDomain: "d", State: "live"},
 		{Name: "node", Role: "entry", Address: d.callers, PeerAddress: peers, FailureDomain: "d", State: "live"},
 	}
 	for i := range faulty {
@@ -249,6 +249,16 @@
 	}
 }
 
+// orderRequests returns n calls of the plain service that may run once.
+func orderRequests(n int) []crowd.Request {
+	var orders []crowd.Request
+	for range n {
+		head := fmt.Sprintf("POST /services/order-desk/orders HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\n", shopKey, uuid.Must(uuid.NewV7()))
+		orders = append(orders, crowd.Request{Head: head, Body: []byte("x")})
+	}
+	return orders
+}
+
 // buildDaemon builds the daemon and returns the path of its program.
 func buildDaemon(t *testing.T) string {
 	binary := filepath.Join(t.TempDir(), "verbenapierd")
@@ -295,11 +305,7 @@
 	for name, r := range shapedRequests() {
 		cases[name+", more memory"] = crowdCase{crowdClients, largerMemory, 0, crowd.Behaviour{Complete: true}, []crowd.Request{r}}
 	}
-	var orders []crowd.Request
-	for range crowdClients {
-		head := fmt.Sprintf("POST /services/order-desk/orders HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\n", shopKey, uuid.Must(uuid.NewV7()))
-		orders = append(orders, crowd.Request{Head: head, Body: []byte("x")})
-	}
+	orders := orderRequests(crowdClients)
 	cases["answers that are not read"] = crowdCase{crowdClients, crowdMemory, 0, crowd.Behaviour{Complete: true}, orders}
 	cases["few descriptors"] = crowdCase{crowdConnections, crowdMemory, crowdFiles, crowd.Behaviour{Silent: true}, orders}
 	cases["few descriptors, kept connections"] = crowdCase{crowdConnections, crowdMemory, crowdFiles, crowd.Behaviour{Complete: true}, []crowd.Request{{Head: "GET /none HTTP/1.1\r\nHost: a\r\n"}}}
--- a/emul/system/endless_test.go
+++ b/emul/system/endless_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// Guards against engines, or a platform, whose answers have no end and fill the memory of the machine,
+// Guards against engines, a plain service or a platform whose answers have no end and fill the memory of the machine,
 // which ends the requests of all callers: the daemon lives on, stays within the memory, and
 // answers an ordinary call while they go on, and a prompt once they are sound.
 func TestAnswersWithoutEnd(t *testing.T) {
@@ -69,16 +69,21 @@
 		Head: fmt.Sprintf("POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\n", shopKey),
 		Body: []byte(`{"model":"draft","max_tokens":2,"prompt":"a berth"}`),
 	}
+	requests := orderRequests(endlessClients / 3)
+	for len(requests) < endlessClients {
+		requests = append(requests, prompt)
+	}
 	type endlessCase struct {
-		answer crowd.Endless
-		server func(d *loopback) *crowd.Switch
+		answer   crowd.Endless
+		server   func(d *loopback) *crowd.Switch
+		requests []crowd.Request
 	}
 	cases := map[string]endlessCase{}
 	for name, answer := range endlessAnswers() {
-		cases[name] = endlessCase{answer, func(d *loopback) *crowd.Switch { return &d.endless }}
+		cases[name] = endlessCase{answer, func(d *loopback) *crowd.Switch { return &d.endless }, requests}
 	}
 	for name, answer := range endlessReplies() {
-		cases["platform, "+name] = endlessCase{answer, func(d *loopback) *crowd.Switch { return &d.platformEndless }}
+		cases["platform, "+name] = endlessCase{answer, func(d *loopback) *crowd.Switch { return &d.platformEndless }, []crowd.Request{prompt}}
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -86,7 +91,7 @@
 			defer d.close()
 			meter := crowd.Watch(t.Context(), d.process)
 			tc.server(d).Set(&tc.answer)
-			clients, err := crowd.Play(t.Context(), d.callers, endlessClients, crowd.Behaviour{Complete: true}, prompt)
+			clients, err := crowd.Play(t.Context(), d.callers, endlessClients, crowd.Behaviour{Complete: true}, tc.requests...)
 			require.NoError(t, err)
 			require.True(t, group.Sleep(t.Context(), endlessTime))
 			d.awaitAnswer()
--- a/internal/relay/upload_test.go
+++ b/internal/relay/upload_test.go
@@ -78,12 +78,14 @@
 	}
 }
 
-// Guards against sound answers without a length that are lost because a long request was
-// still being written when they ended.
+// Guards against sound answers that are lost because a long request was still being written
+// when they ended.
 func TestEarlyAnswerIsWhole(t *testing.T) {
-	answers := map[string]string{
-		"/plain-once/x":  upstreamHead + "Connection: close\r\n\r\nwhole",
-		"/stream-once/x": streamHead + eventText(1),
+	answers := map[string]struct{ path, answer, body string }{
+		"call":             {"/plain-once/x", upstreamHead + "Connection: close\r\n\r\nwhole", "whole"},
+		"call with length": {"/plain-once/x", upstreamHead + "Content-Length: 5\r\n\r\nwhole", "whole"},
+		"call in chunks":   {"/plain-once/x", upstreamHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "whole"},
+		"stream":           {"/stream-once/x", streamHead + eventText(1), eventText(1)},
 	}
 	ends := map[string]func(c *net.TCPConn, body io.Reader){
 		"request read to its end": func(_ *net.TCPConn, body io.Reader) { _, _ = io.Copy(io.Discard, body) },
@@ -96,18 +98,17 @@
 			time.Sleep(uploadPause)
 		},
 	}
-	for path, answer := range answers {
+	for kind, tc := range answers {
 		for name, finish := range ends {
-			t.Run(name+path, func(t *testing.T) {
+			t.Run(kind+", "+name, func(t *testing.T) {
 				g := newGateway(t)
 				g.maxBody = longUpload
-				g.addEarlyUpstream("u1", answer, finish)
-				_, want, _ := strings.Cut(answer, "\r\n\r\n")
+				g.addEarlyUpstream("u1", tc.answer, finish)
 				for range earlyRounds {
-					status, body, err := g.upload(path)
+					status, body, err := g.upload(tc.path)
 					require.NoError(t, err)
 					require.Equal(t, http.StatusOK, status)
-					require.Equal(t, want, body)
+					require.Equal(t, tc.body, body)
 				}
 			})
 		}
