--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -139,7 +139,7 @@
 	})
 	g.places.Register(g.mux)
 	g.relay = relay.New(relay.Options{
-		Codec: g.adapter.Codec, Placer: g.places, Reserver: g.adapter.Reserver, Drain: g.drain, Quota: g.quota, Group: g.group, Table: g.state.Table, ConfigAge: g.feed.Age, UpstreamID: g.state.UpstreamID,
+		Codec: g.adapter.Codec, Placer: g.places, Reserver: g.adapter.Reserver, Drain: g.drain, Quota: g.quota, Group: g.group, Table: g.state.Table, ConfigAge: g.feed.Age, CopyRevision: g.feed.Revision, UpstreamID: g.state.UpstreamID,
 		Budget: retry.New(s.RetryRatio, s.RetryAllowance, s.RetryWindow, func() int { return len(g.members.Members()) }),
 		Dial:   o.Network.Dial, Answers: answers, Random: newRandom(), Log: g.log, Metrics: metrics.SubScope("relay"),
 	})
