feed: versions of the platform are ordered by era and revision

What callers saw: 404 for a route, and 401 for a key, that the store had acknowledged after it came back from a copy some seconds old; 503 for unknown routes and routes that had been dropped still served where its revisions stayed below those of the hosts. Cause: a revision counts only within an era of the store (Store-Era). Hosts went on watching from a revision of the lost history, kept every key with a higher one, and handed each other changes by revision alone. Change: feed.Version is an era with a revision, from the client of the store through the copy to what hosts tell each other. A newer configuration stays in force, upstreams that had left get nothing for 4 s when the copy names them again, and registrations that lapse with the return are kept as after an outage.

--- a/internal/feed/compress_test.go
+++ b/internal/feed/compress_test.go
@@ -25,8 +25,8 @@
 		fmt.Fprintf(&document, `{"name":"route-%d","hostname":"a%d.example","prefix":"/p%d/","route_type":"streaming","timeout_ms":10000,"service":"assistant"},`, n, n%40, n)
 	}
 	from, to := newFeed(), newFeed()
-	from.Apply(Batch{Revision: 1, Complete: true, Items: []Item{{Key: "config", Value: document.Bytes(), Revision: 1}}}, time.Now())
-	sent, err := json.Marshal(from.changesSince(0))
+	from.Apply(Batch{Version: Version{Revision: 1}, Complete: true, Items: []Item{{Key: "config", Value: document.Bytes(), Revision: 1}}}, time.Now())
+	sent, err := json.Marshal(from.changesSince(Version{}))
 	require.NoError(t, err)
 	require.Less(t, float64(len(sent)), maxFraction*float64(document.Len()))
 
@@ -36,7 +36,7 @@
 	require.NoError(t, err)
 	to.Apply(received, time.Now())
 	require.Equal(t, document.Bytes(), to.Live()["config"].Value)
-	forwarded, err := to.changesSince(0).decompress()
+	forwarded, err := to.changesSince(Version{}).decompress()
 	require.NoError(t, err)
 	require.Equal(t, document.Bytes(), forwarded.Items[0].Value, "a node that received the value must forward it")
 }
@@ -59,15 +59,15 @@
 func TestOddBatches(t *testing.T) {
 	sound := Item{Key: "k", Revision: 1}
 	for name, b := range map[string]Batch{
-		"negative age": {Revision: 1, Age: -time.Hour, Items: []Item{sound}},
-		"no key":       {Revision: 1, Items: []Item{sound, {Revision: 1}}},
-		"no revision":  {Revision: 1, Items: []Item{sound, {Key: "x"}}},
+		"negative age": {Version: Version{Revision: 1}, Age: -time.Hour, Items: []Item{sound}},
+		"no key":       {Version: Version{Revision: 1}, Items: []Item{sound, {Revision: 1}}},
+		"no revision":  {Version: Version{Revision: 1}, Items: []Item{sound, {Key: "x"}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := b.decompress()
 			require.Equal(t, fault.Invalid, fault.KindOf(err))
 		})
 	}
-	_, err := Batch{Revision: 1, Age: time.Second, Items: []Item{sound}}.decompress()
+	_, err := Batch{Version: Version{Revision: 1}, Age: time.Second, Items: []Item{sound}}.decompress()
 	require.NoError(t, err)
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -43,8 +43,9 @@
 // Batch is a reply of a Source.
 type Batch struct {
 	Items []Item `json:"items,omitempty"`
-	// Revision is the revision up to which the source has received all changes.
-	Revision uint64 `json:"at"`
+	// Version is that up to which the source has received all changes. Its era is that
+	// of all items.
+	Version
 	// Age is the time since the source was last known to be up to date.
 	Age time.Duration `json:"age_ns,omitempty"`
 	// Direct reports that the source reads its keys from the platform rather
@@ -64,26 +65,42 @@
 type Source interface {
 	// List returns all keys.
 	List(ctx context.Context) (Batch, error)
-	// Watch returns the changes after a revision as soon as there are any, or
+	// Watch returns the changes after a version as soon as there are any, or
 	// an empty batch after the wait. It returns fault.Stale if the platform no
-	// longer has the changes since the revision; the caller must call List.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	// longer has the changes since the version, or is in another era; the caller must
+	// call List.
+	Watch(ctx context.Context, after Version, wait time.Duration) (Batch, error)
 }
 
 // Entry is the value of a key that is not deleted.
 type Entry struct {
-	Value    []byte
-	Revision uint64
+	Value []byte
+	// Version is that of the last change.
+	Version Version
 }
 
+// Result is what Apply made of a batch.
+type Result int
+
+const (
+	// Merged batches are of the era of the copy.
+	Merged Result = iota
+	// Replaced means that the batch is of a later era and has taken the place of the copy.
+	Replaced
+	// Unusable batches are of an earlier era, or hold only the changes of a later one.
+	Unusable
+)
+
 // Feed is the local copy of the platform's keys. Its methods are safe for
 // concurrent use.
 type Feed struct {
 	log logrus.FieldLogger
 
-	mu       sync.Mutex
-	items    map[string]record
-	revision uint64
+	mu    sync.Mutex
+	items map[string]record
+	// version is that up to which all changes are in the copy. Its era is that of all
+	// items.
+	version Version
 	// syncedAt is when the copy was last known to be up to date.
 	syncedAt time.Time
 	changed  chan struct{}
@@ -113,13 +130,20 @@
 	return &Feed{log: log, items: map[string]record{}, changed: make(chan struct{})}
 }
 
-// Apply merges a batch, received at the given time, into the copy. A key never
-// goes back to an older revision.
-func (f *Feed) Apply(b Batch, received time.Time) {
+// Apply merges a batch, received at the given time, into the copy. A key never goes back
+// to an older version. A batch with all keys of a later era takes the place of the copy.
+func (f *Feed) Apply(b Batch, received time.Time) Result {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	changed := false
+	result, changed := Merged, false
+	switch {
+	case b.Era < f.version.Era || b.Era > f.version.Era && !b.Complete:
+		return Unusable
+	case b.Era > f.version.Era:
+		result, changed = Replaced, true
+		f.beginEra(b.Era, now)
+	}
 	for _, item := range b.Items {
 		if f.items[item.Key].Revision < item.Revision {
 			f.items[item.Key] = record{item, now, item.compress()}
@@ -129,28 +153,42 @@
 	if b.Complete {
 		changed = f.removeMissing(b, now) || changed
 	}
-	if b.Revision > f.revision {
-		f.revision = b.Revision
+	f.version.Revision = max(f.version.Revision, b.Revision)
+	f.recordSync(b, received, now)
+	for key, r := range f.items {
+		if r.Deleted && now.Sub(r.updatedAt) > tombstoneTime {
+			delete(f.items, key)
+		}
+	}
+	if changed {
+		close(f.changed)
+		f.changed = make(chan struct{})
 	}
+	return result
+}
+
+// beginEra drops the copy of an earlier era. The platform was away when it came back, and
+// registrations may have lapsed with their leases. The caller holds mu.
+func (f *Feed) beginEra(era uint64, now time.Time) {
+	if f.version.Revision > 0 {
+		f.outageEndedAt = now
+	}
+	f.items, f.version, f.syncedAt = map[string]record{}, Version{Era: era}, time.Time{}
+}
+
+// recordSync records what a batch says of the age of the copy and of outages of the
+// platform. The caller holds mu.
+func (f *Feed) recordSync(b Batch, received, now time.Time) {
 	// A platform that answers this node only turns the peer away.
 	if at := received.Add(-b.FailureAge); b.FailureAge > 0 && !f.direct && at.After(f.unreachableAt) {
 		f.unreachableAt = at
 	}
-	if syncedAt := received.Add(-b.Age); b.Revision >= f.revision && syncedAt.After(f.syncedAt) {
+	if syncedAt := received.Add(-b.Age); b.Revision >= f.version.Revision && syncedAt.After(f.syncedAt) {
 		if f.isOutage(syncedAt) {
 			f.outageEndedAt = now
 		}
 		f.syncedAt = syncedAt
 	}
-	for key, r := range f.items {
-		if r.Deleted && now.Sub(r.updatedAt) > tombstoneTime {
-			delete(f.items, key)
-		}
-	}
-	if changed {
-		close(f.changed)
-		f.changed = make(chan struct{})
-	}
 }
 
 // removeMissing replaces each key that a complete batch does not list by a
@@ -193,12 +231,12 @@
 	f.direct, f.failedAt, f.unreachableAt = false, at, at
 }
 
-// Revision returns the revision up to which all changes have been received, or zero
-// before the first batch.
-func (f *Feed) Revision() uint64 {
+// Version returns the version up to which all changes have been received. Its revision is
+// zero before the first batch.
+func (f *Feed) Version() Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision
+	return f.version
 }
 
 // Age returns the time since the copy was last known to be up to date.
@@ -222,33 +260,37 @@
 	live := make(map[string]Entry, len(f.items))
 	for key, r := range f.items {
 		if !r.Deleted {
-			live[key] = Entry{r.Value, r.Revision}
+			live[key] = Entry{r.Value, Version{f.version.Era, r.Revision}}
 		}
 	}
 	return live
 }
 
-// changesSince returns the changes after a revision, or all live keys for
-// revision zero, in the form that is sent to other nodes.
-func (f *Feed) changesSince(after uint64) Batch {
+// changesSince returns the changes after a version, in the form that is sent to other
+// nodes. It returns all live keys for revision zero and for another era. To a node that
+// knows a later era it returns none.
+func (f *Feed) changesSince(after Version) Batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b := Batch{Revision: f.revision, Age: time.Since(f.syncedAt), Direct: f.direct, Complete: after == 0}
+	b := Batch{Version: f.version, Age: time.Since(f.syncedAt), Direct: f.direct, Complete: after.Revision == 0 || after.Era != f.version.Era}
 	if !f.failedAt.IsZero() {
 		b.FailureAge = time.Since(f.failedAt) + 1
 	}
+	if after.Era > f.version.Era {
+		return b
+	}
 	for _, key := range slices.Sorted(maps.Keys(f.items)) {
 		r := f.items[key]
-		if r.Revision > after && (after > 0 || !r.Deleted) {
+		if b.Complete && !r.Deleted || !b.Complete && r.Revision > after.Revision {
 			b.Items = append(b.Items, r.outgoing)
 		}
 	}
 	return b
 }
 
-// waitForChanges returns the changes after a revision as soon as there are any,
+// waitForChanges returns the changes after a version as soon as there are any,
 // or an empty batch after the time limit.
-func (f *Feed) waitForChanges(ctx context.Context, after uint64, limit time.Duration) (Batch, error) {
+func (f *Feed) waitForChanges(ctx context.Context, after Version, limit time.Duration) (Batch, error) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -103,9 +103,9 @@
 	return &Follower{options: o, random: o.Random, failedAt: map[string]time.Time{}, silentAt: map[string]time.Time{}, wake: make(chan struct{}, 1)}
 }
 
-// watchRequest asks a peer for the changes after a revision.
+// watchRequest asks a peer for the changes after a version.
 type watchRequest struct {
-	After uint64        `json:"after"`
+	After Version       `json:"after"`
 	Wait  time.Duration `json:"wait_ns"`
 }
 
@@ -200,8 +200,8 @@
 func (f *Follower) followPlatform(ctx context.Context) error {
 	pause := retryMin
 	reading, platformLost := false, false
-	// All keys are listed if after is zero.
-	var after uint64
+	// All keys are listed if the revision of after is zero.
+	var after Version
 	var wait time.Duration
 	for ctx.Err() == nil {
 		if !f.isReader() {
@@ -216,37 +216,32 @@
 			reading, after, wait = true, f.resumeFrom(), 0
 		}
 		batch, err := f.readPlatform(ctx, after, wait)
+		if err == nil && f.apply(batch, "platform") == Unusable {
+			err = fault.New(fault.Stale, "the answer is of era %d", batch.Era)
+		}
 		if err == nil {
-			f.options.Feed.Apply(batch, time.Now())
 			f.options.Feed.setDirect(true)
 			f.postponeAsk(true)
-			after, wait, pause = batch.Revision, platformWait, retryMin
+			after, wait, pause = batch.Version, platformWait, retryMin
 			if platformLost {
-				f.options.Log.WithFields(logrus.Fields{"event": "platform_regained", "revision": after}).Info("the platform is reachable again")
+				f.options.Log.WithFields(logrus.Fields{"event": "platform_regained", "revision": after.Revision}).Info("the platform is reachable again")
 			}
 			platformLost = false
 			continue
 		}
-		if fault.Is(err, fault.Stale) {
-			f.options.Log.WithField("event", "platform_history_gone").WithField("revision", after).Warn("changes since this revision are no longer known to the platform; all keys are listed again")
-			after = 0
+		if listPause, again := f.mustList(after, err); again {
+			after = Version{}
+			if !f.sleep(ctx, listPause) {
+				break
+			}
 			continue
 		}
 		if ctx.Err() != nil {
 			break
 		}
-		if after > 0 && fault.Is(err, fault.Invalid) {
-			f.options.Log.WithError(err).WithFields(logrus.Fields{"event": "platform_unreadable", "revision": after}).
-				Warn("changes since this revision cannot be read; all keys are listed again")
-			after = 0
-			if !f.sleep(ctx, unreadablePause) {
-				break
-			}
-			continue
-		}
 		f.options.Feed.setFailed(time.Now())
 		if !platformLost {
-			f.options.Log.WithError(err).WithFields(logrus.Fields{"event": "platform_lost", "revision": after}).
+			f.options.Log.WithError(err).WithFields(logrus.Fields{"event": "platform_lost", "revision": after.Revision}).
 				Warn("the platform does not answer; changes are read from peers only")
 		}
 		platformLost = true
@@ -258,17 +253,53 @@
 	return ctx.Err()
 }
 
-// resumeFrom returns the revision from which a node that becomes a reader watches the
-// platform, or zero if it has to list all keys. A node whose copy was up to date
+// mustList reports whether all keys have to be listed because of an error of a call for
+// the changes after a version, and the mean pause before that.
+func (f *Follower) mustList(after Version, err error) (pause time.Duration, again bool) {
+	log := f.options.Log.WithError(err).WithFields(logrus.Fields{"revision": after.Revision, "era": after.Era})
+	switch {
+	case fault.Is(err, fault.Stale):
+		log.WithField("event", "platform_history_gone").
+			Warn("changes since this revision are no longer known to the platform; all keys are listed again")
+		if after.Revision == 0 {
+			return retryMin, true
+		}
+		return 0, true
+	case after.Revision > 0 && fault.Is(err, fault.Invalid):
+		log.WithField("event", "platform_unreadable").
+			Warn("changes since this revision cannot be read; all keys are listed again")
+		return unreadablePause, true
+	}
+	return 0, false
+}
+
+// apply applies a batch of the platform or of a peer to the copy.
+func (f *Follower) apply(b Batch, source string) Result {
+	last := f.options.Feed.Version()
+	result := f.options.Feed.Apply(b, time.Now())
+	fields := logrus.Fields{"era": b.Era, "revision": b.Revision, "last_era": last.Era, "last_revision": last.Revision, "source": source}
+	switch {
+	case result == Replaced && last.Revision > 0:
+		f.options.Log.WithFields(fields).WithField("event", "copy_replaced").
+			Warn("the platform came back from a copy of earlier keys; its present keys have replaced those held here")
+	case result == Unusable:
+		f.options.Log.WithFields(fields).WithField("event", "batch_refused").
+			Info("keys of another era cannot be merged with those held here")
+	}
+	return result
+}
+
+// resumeFrom returns the version from which a node that becomes a reader watches the
+// platform, or the zero value if it has to list all keys. A node whose copy was up to date
 // shortly before asks for the changes only.
-func (f *Follower) resumeFrom() uint64 {
+func (f *Follower) resumeFrom() Version {
 	if f.options.Feed.Age() > staleAge {
-		return 0
+		return Version{}
 	}
-	revision := f.options.Feed.Revision()
-	f.options.Log.WithFields(logrus.Fields{"event": "platform_asked", "revision": revision, "peers_lost": f.untilAsk() <= 0}).
+	version := f.options.Feed.Version()
+	f.options.Log.WithFields(logrus.Fields{"event": "platform_asked", "revision": version.Revision, "peers_lost": f.untilAsk() <= 0}).
 		Info("this node lost the peers that it follows, or became a reader; it asks the platform")
-	return revision
+	return version
 }
 
 // awaitReading waits until this node may have become a reader. It reports false if
@@ -285,8 +316,8 @@
 	return true
 }
 
-func (f *Follower) readPlatform(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
-	if after == 0 {
+func (f *Follower) readPlatform(ctx context.Context, after Version, wait time.Duration) (Batch, error) {
+	if after.Revision == 0 {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		return f.options.Platform.List(ctx)
@@ -321,7 +352,13 @@
 			}
 			continue
 		}
-		f.options.Feed.Apply(batch, time.Now())
+		if f.apply(batch, peer.Name) == Unusable {
+			f.markFailed(peer.Name, slot)
+			if !f.sleep(ctx, retryMin) {
+				break
+			}
+			continue
+		}
 		if batch.Age > staleAge || !batch.Direct {
 			f.markFailed(peer.Name, slot)
 			continue
@@ -336,7 +373,7 @@
 	defer cancel()
 	var batch Batch
 	err := f.options.Caller.Call(ctx, peer.PeerAddress, MethodWatch,
-		watchRequest{After: f.options.Feed.Revision(), Wait: peerWait}, &batch)
+		watchRequest{After: f.options.Feed.Version(), Wait: peerWait}, &batch)
 	if err != nil {
 		return batch, err
 	}
@@ -413,6 +450,9 @@
 
 // spread returns a random duration between half of d and one and a half times d.
 func (f *Follower) spread(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return d/2 + time.Duration(f.random.Int64N(int64(d)))
--- a/internal/feed/follow_test.go
+++ b/internal/feed/follow_test.go
@@ -84,7 +84,7 @@
 func (c platformClient) batch() (Batch, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Batch{Revision: c.revision, Complete: true, Items: []Item{{Key: "k", Revision: c.revision}}}, c.silent[c.node]
+	return Batch{Version: Version{Revision: c.revision}, Complete: true, Items: []Item{{Key: "k", Revision: c.revision}}}, c.silent[c.node]
 }
 
 // List implements Source.
@@ -99,12 +99,12 @@
 }
 
 // Watch implements Source.
-func (c platformClient) Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
+func (c platformClient) Watch(ctx context.Context, after Version, wait time.Duration) (Batch, error) {
 	c.count()
 	end := time.Now().Add(wait)
 	for {
 		b, silent := c.batch()
-		if !silent && (b.Revision > after || !time.Now().Before(end)) {
+		if !silent && (b.Revision > after.Revision || !time.Now().Before(end)) {
 			b.Complete = false
 			return b, nil
 		}
@@ -255,7 +255,7 @@
 	for waited := time.Duration(0); waited < limit; waited += step {
 		late := false
 		for name, f := range n.feeds {
-			late = late || !n.dark[name] && f.Revision() < revision
+			late = late || !n.dark[name] && f.Version().Revision < revision
 		}
 		if !late {
 			return waited
@@ -283,7 +283,7 @@
 				revision := n.platform.change()
 				time.Sleep(bound)
 				for name, f := range n.feeds {
-					require.Equal(t, revision, f.Revision(), name)
+					require.Equal(t, revision, f.Version().Revision, name)
 				}
 			})
 		})
@@ -303,7 +303,7 @@
 }
 
 // Watch implements Source.
-func (unreadableWatches) Watch(context.Context, uint64, time.Duration) (Batch, error) {
+func (unreadableWatches) Watch(context.Context, Version, time.Duration) (Batch, error) {
 	return Batch{}, fault.New(fault.Invalid, "the answer cannot be decoded")
 }
 
@@ -330,7 +330,7 @@
 		p.revision++
 		p.mu.Unlock()
 		time.Sleep(bound)
-		require.Equal(t, uint64(2), f.Revision())
+		require.Equal(t, uint64(2), f.Version().Revision)
 		require.LessOrEqual(t, lists.Load(), int64(2*(runTime+bound)/unreadablePause))
 		g.Stop()
 		require.NoError(t, g.Wait())
--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -139,7 +139,7 @@
 	})
 	g.places.Register(g.mux)
 	g.relay = relay.New(relay.Options{
-		Codec: g.adapter.Codec, Placer: g.places, Reserver: g.adapter.Reserver, Drain: g.drain, Quota: g.quota, Group: g.group, Table: g.state.Table, ConfigAge: g.feed.Age, CopyRevision: g.feed.Revision, UpstreamID: g.state.UpstreamID,
+		Codec: g.adapter.Codec, Placer: g.places, Reserver: g.adapter.Reserver, Drain: g.drain, Quota: g.quota, Group: g.group, Table: g.state.Table, ConfigAge: g.feed.Age, CopyVersion: g.copyVersion, UpstreamID: g.state.UpstreamID,
 		Budget: retry.New(s.RetryRatio, s.RetryAllowance, s.RetryWindow, func() int { return len(g.members.Members()) }),
 		Dial:   o.Network.Dial, Answers: answers, Random: newRandom(), Log: g.log, Metrics: metrics.SubScope("relay"),
 	})
@@ -172,6 +172,13 @@
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
+// copyVersion returns the era and the revision up to which this host knows all changes of
+// the platform.
+func (g *Gateway) copyVersion() (era, revision uint64) {
+	v := g.feed.Version()
+	return v.Era, v.Revision
+}
+
 // Ready implements Directory.
 func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.state.Table() != nil }
 
--- a/internal/gate/loops_test.go
+++ b/internal/gate/loops_test.go
@@ -81,19 +81,19 @@
 	p.hit("list")
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	b := feed.Batch{Revision: p.revision, Complete: true, Direct: true}
+	b := feed.Batch{Version: feed.Version{Revision: p.revision}, Complete: true, Direct: true}
 	for i, key := range []string{"document", "e1", "p1", "bad"} {
 		b.Items = append(b.Items, feed.Item{Key: key, Value: []byte(key), Revision: p.revision - 3 + uint64(i)})
 	}
 	return b, nil
 }
 
-func (p *faultyPlatform) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Batch, error) {
+func (p *faultyPlatform) Watch(ctx context.Context, after feed.Version, wait time.Duration) (feed.Batch, error) {
 	p.hit("watch")
 	p.mu.Lock()
 	revision, changed := p.revision, p.changed
 	p.mu.Unlock()
-	if revision > after {
+	if revision > after.Revision {
 		return p.List(ctx)
 	}
 	select {
@@ -101,7 +101,7 @@
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return feed.Batch{Revision: after, Direct: true}, ctx.Err()
+	return feed.Batch{Version: after, Direct: true}, ctx.Err()
 }
 
 func (p *faultyPlatform) Publish(context.Context, crash.Quarantine) error {
--- a/internal/gate/meet.go
+++ b/internal/gate/meet.go
@@ -65,8 +65,8 @@
 	for key, entry := range live {
 		address, ok, err := s.adapter.DecodeGateway(key, entry.Value)
 		switch {
-		case err != nil && s.refused[key] != entry.Revision:
-			s.refused[key] = entry.Revision
+		case err != nil && s.refused[key] != entry.Version:
+			s.refused[key] = entry.Version
 			s.log.WithError(err).WithFields(logrus.Fields{"event": "gateway_unreadable", "key": key}).
 				Warn("the address of a gateway on the platform cannot be read and has no effect")
 		case err != nil:
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -31,9 +31,13 @@
 	// of a cell may have an older copy of the keys and still grant such an
 	// upstream; this node rejects the grant.
 	goneRetention = time.Minute
-	// lapseCheckInterval is how often lapsed registrations that are kept are
-	// examined.
+	// lapseCheckInterval is how often lapsed registrations that are kept, and doubted
+	// ones, are examined.
 	lapseCheckInterval = 200 * time.Millisecond
+	// A registration that a platform which came back from a copy holds of an upstream that
+	// had left is doubted for doubtTime. By then the upstream has registered again that it
+	// leaves, or its registration has lapsed for want of heartbeats.
+	doubtTime = 4 * time.Second
 )
 
 // state is what the gateway derives from the platform's keys: the
@@ -50,9 +54,9 @@
 
 	mu    sync.Mutex
 	table *route.Table
-	// documentRevision is the revision of the last configuration document that
-	// was read, valid or not.
-	documentRevision uint64
+	// documentVersion is that of the last configuration document that was read, valid or
+	// not.
+	documentVersion feed.Version
 	// upstreams holds the registrations by key, and services the valid ones by
 	// service.
 	upstreams map[string]*registration
@@ -61,18 +65,26 @@
 	// engines of each cell.
 	cellNames map[string][]string
 	cells     map[string]cellEngines
-	// gone holds, by id, the time at which an upstream known to this node left or
-	// announced that it leaves.
-	gone  map[string]time.Time
+	// gone holds, by id, the upstreams known to this node that left or announced that they
+	// leave.
+	gone  map[string]departure
 	pools map[string]*place.Pool
 	// gateways holds the peer addresses of the gateways that have announced themselves.
 	gateways []string
-	// refused holds the revisions of the quarantines and gateways that cannot be read, by
+	// refused holds the versions of the quarantines and gateways that cannot be read, by
 	// key. Only refresh uses it.
-	refused map[string]uint64
-	// faulty holds the revisions of the keys whose value could not be applied because
+	refused map[string]feed.Version
+	// faulty holds the versions of the keys whose value could not be applied because
 	// of an unexpected error.
-	faulty map[string]uint64
+	faulty map[string]feed.Version
+}
+
+// departure states that an upstream left or announced that it leaves.
+type departure struct {
+	at      time.Time
+	process string
+	// era is that of the copy of the platform's keys at the time.
+	era uint64
 }
 
 // cellEngines holds the engines of a cell.
@@ -84,20 +96,25 @@
 // registration is the registration of an upstream.
 type registration struct {
 	place.Upstream
-	revision uint64
+	version feed.Version
 	// lapsedAt is when the registration was first found missing after an outage,
 	// or zero.
 	lapsedAt time.Time
+	// doubtedAt is when the registration was first doubted (see doubtTime), or zero.
+	doubtedAt time.Time
 	// invalid says that the registration could not be decoded or names no
 	// usable upstream.
 	invalid bool
 }
 
+// settled reports whether the registration stays as it is until its key changes.
+func (r *registration) settled() bool { return r.lapsedAt.IsZero() && r.doubtedAt.IsZero() }
+
 func newState(name string, f *feed.Feed, a Adapter, crashes *crash.Registry, notices *place.Notices, members func() []member.Member, g *group.Group, log logrus.FieldLogger) *state {
 	return &state{
 		name: name, feed: f, adapter: a, crashes: crashes, notices: notices, members: members, log: log, group: g,
 		upstreams: map[string]*registration{}, services: map[string][]place.Upstream{},
-		gone: map[string]time.Time{}, pools: map[string]*place.Pool{}, refused: map[string]uint64{}, faulty: map[string]uint64{},
+		gone: map[string]departure{}, pools: map[string]*place.Pool{}, refused: map[string]feed.Version{}, faulty: map[string]feed.Version{},
 	}
 }
 
@@ -108,7 +125,7 @@
 	var seen <-chan struct{}
 	for {
 		changed := s.feed.Changed()
-		if changed != seen || s.hasLapsed() {
+		if changed != seen || s.isUnsettled() {
 			seen = changed
 			s.refresh(time.Now())
 		}
@@ -121,12 +138,12 @@
 	}
 }
 
-// hasLapsed reports whether a lapsed registration is kept.
-func (s *state) hasLapsed() bool {
+// isUnsettled reports whether a registration may change without a change of its key.
+func (s *state) isUnsettled() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.upstreams {
-		if !r.lapsedAt.IsZero() {
+		if !r.settled() {
 			return true
 		}
 	}
@@ -142,12 +159,12 @@
 	s.gateways = s.readGateways(live)
 	changed := false
 	for key, entry := range live {
-		changed = s.apply(key, entry) || changed
+		changed = s.apply(key, entry, now) || changed
 	}
-	maps.DeleteFunc(s.faulty, func(key string, _ uint64) bool { _, ok := live[key]; return !ok })
+	maps.DeleteFunc(s.faulty, func(key string, _ feed.Version) bool { _, ok := live[key]; return !ok })
 	changed = s.removeMissing(live, now) || changed
-	for id, at := range s.gone {
-		if now.Sub(at) > goneRetention {
+	for id, d := range s.gone {
+		if now.Sub(d.at) > goneRetention {
 			delete(s.gone, id)
 		}
 	}
@@ -158,16 +175,16 @@
 
 // apply applies the value of a key and reports whether the upstreams have to be
 // regrouped. A value that causes an unexpected error has no effect. The caller holds mu.
-func (s *state) apply(key string, entry feed.Entry) (changed bool) {
-	if s.faulty[key] == entry.Revision {
+func (s *state) apply(key string, entry feed.Entry, now time.Time) (changed bool) {
+	if s.faulty[key] == entry.Version {
 		return false
 	}
 	err := guard.Do(context.Background(), s.log.WithField("key", key), "key", func(context.Context) error {
-		changed = s.applyDocument(key, entry) || s.applyRegistration(key, entry)
+		changed = s.applyDocument(key, entry) || s.applyRegistration(key, entry, now)
 		return nil
 	})
 	if err != nil {
-		s.faulty[key] = entry.Revision
+		s.faulty[key] = entry.Version
 	}
 	return changed
 }
@@ -183,8 +200,8 @@
 			return err
 		})
 		switch {
-		case err != nil && s.refused[key] != entry.Revision:
-			s.refused[key] = entry.Revision
+		case err != nil && s.refused[key] != entry.Version:
+			s.refused[key] = entry.Version
 			s.log.WithError(err).WithFields(logrus.Fields{"event": "quarantine_unreadable", "key": key}).
 				Warn("a quarantine on the platform cannot be read and has no effect")
 		case err != nil:
@@ -192,42 +209,47 @@
 			list = append(list, q)
 		}
 	}
-	maps.DeleteFunc(s.refused, func(key string, _ uint64) bool { _, ok := live[key]; return !ok })
+	maps.DeleteFunc(s.refused, func(key string, _ feed.Version) bool { _, ok := live[key]; return !ok })
 	return list
 }
 
-// applyDocument puts a newer configuration in force and reports whether it did.
-// The caller holds mu.
+// applyDocument puts a newer configuration in force and reports whether it did. A platform
+// that came back from a copy may hold an older one until the operators write the lost one
+// again. The caller holds mu.
 func (s *state) applyDocument(key string, entry feed.Entry) bool {
-	if entry.Revision <= s.documentRevision {
+	if entry.Version.Compare(s.documentVersion) <= 0 {
 		return false
 	}
 	c, ok, err := s.adapter.DecodeDocument(key, entry.Value)
 	if !ok {
 		return false
 	}
-	s.documentRevision = entry.Revision
+	s.documentVersion = entry.Version
+	log := s.log.WithFields(logrus.Fields{"revision": entry.Version.Revision, "era": entry.Version.Era})
 	if err != nil {
-		s.log.WithError(err).WithFields(logrus.Fields{"event": "config_refused", "revision": entry.Revision}).
-			Error("a configuration cannot be read; the previous one stays in force")
+		log.WithError(err).WithField("event", "config_refused").Error("a configuration cannot be read; the previous one stays in force")
 		return false
 	}
+	log = log.WithField("config", c.Version)
 	if s.table != nil && c.Version <= s.table.Version() {
+		if c.Version < s.table.Version() {
+			log.WithFields(logrus.Fields{"event": "config_older", "in_force": s.table.Version()}).
+				Warn("the platform holds an older configuration than the one in force, which stays in force")
+		}
 		return false
 	}
 	s.table = route.NewTable(c)
-	s.log.WithFields(logrus.Fields{
-		"event": "config_in_force", "config": c.Version, "revision": entry.Revision, "routes": len(c.Routes),
-		"services": len(c.Services), "keys": len(c.Keys),
+	log.WithFields(logrus.Fields{
+		"event": "config_in_force", "routes": len(c.Routes), "services": len(c.Services), "keys": len(c.Keys),
 	}).Info("a configuration is in force")
 	return true
 }
 
 // applyRegistration records a new or changed registration and reports whether
 // the upstreams have to be regrouped. The caller holds mu.
-func (s *state) applyRegistration(key string, entry feed.Entry) bool {
+func (s *state) applyRegistration(key string, entry feed.Entry, now time.Time) bool {
 	known := s.upstreams[key]
-	if known != nil && known.revision == entry.Revision && known.lapsedAt.IsZero() {
+	if known != nil && known.version == entry.Version && known.settled() {
 		return false
 	}
 	u, ok, err := s.adapter.DecodeUpstream(key, entry.Value)
@@ -235,27 +257,54 @@
 		return false
 	}
 	if err != nil {
-		s.log.WithError(err).WithFields(logrus.Fields{"event": "registration_refused", "key": key, "revision": entry.Revision}).
+		s.log.WithError(err).WithFields(logrus.Fields{"event": "registration_refused", "key": key, "revision": entry.Version.Revision}).
 			Warn("a registration could not be decoded or names no usable upstream")
 		if known != nil && !known.invalid {
-			s.gone[known.ID] = time.Now()
+			s.depart(known.Upstream, now)
 		}
 	}
-	s.upstreams[key] = &registration{Upstream: u, revision: entry.Revision, invalid: err != nil}
-	delete(s.gone, u.ID)
-	if u.Leaving {
-		s.gone[u.ID] = time.Now()
-	}
-	if err == nil && (known == nil || known.Upstream != u || !known.lapsedAt.IsZero()) {
+	r := &registration{Upstream: u, version: entry.Version, invalid: err != nil}
+	s.upstreams[key] = r
+	s.settle(r, known, now)
+	if err == nil && (known == nil || known.Upstream != r.Upstream || !known.lapsedAt.IsZero()) {
 		s.log.WithFields(logrus.Fields{
-			"event": "upstream", "upstream": u.ID, "service": u.Service, "address": u.Address, "leaving": u.Leaving,
-			"revision": entry.Revision,
+			"event": "upstream", "upstream": u.ID, "service": u.Service, "address": u.Address, "leaving": r.Leaving,
+			"revision": entry.Version.Revision, "doubted": !r.doubtedAt.IsZero(),
 		}).Info("an upstream is registered")
 		return true
 	}
 	return known == nil || known.invalid != (err != nil)
 }
 
+// settle records whether the upstream of a new registration leaves. One of an era in
+// which its process has not been seen before it left counts as leaving while it is
+// doubted. The caller holds mu.
+func (s *state) settle(r, known *registration, now time.Time) {
+	d, departed := s.gone[r.ID]
+	if r.Leaving || !departed || d.process != r.Process() || d.era >= r.version.Era {
+		delete(s.gone, r.ID)
+		if r.Leaving {
+			s.depart(r.Upstream, now)
+		}
+		return
+	}
+	r.doubtedAt = now
+	if known != nil && !known.doubtedAt.IsZero() {
+		r.doubtedAt = known.doubtedAt
+	}
+	if now.Sub(r.doubtedAt) >= doubtTime {
+		r.doubtedAt = time.Time{}
+		delete(s.gone, r.ID)
+		return
+	}
+	r.Leaving = true
+}
+
+// depart records that an upstream left or leaves. The caller holds mu.
+func (s *state) depart(u place.Upstream, now time.Time) {
+	s.gone[u.ID] = departure{at: now, process: u.Process(), era: s.feed.Version().Era}
+}
+
 // removeMissing removes upstreams whose registration is missing, and reports
 // whether there were any. An upstream whose registration may have lapsed in an
 // outage of the platform is kept for lapseHold. The caller holds mu.
@@ -277,7 +326,7 @@
 		if r.invalid {
 			continue
 		}
-		s.gone[r.ID] = now
+		s.depart(r.Upstream, now)
 		s.log.WithFields(logrus.Fields{"event": "upstream_gone", "upstream": r.ID, "service": r.Service}).
 			Info("an upstream is no longer registered")
 		removed = true
--- a/internal/gate/state_test.go
+++ b/internal/gate/state_test.go
@@ -52,7 +52,7 @@
 	revision := uint64(0)
 	put := func(key, value string) {
 		revision++
-		f.Apply(feed.Batch{Revision: revision, Items: []feed.Item{{Key: key, Value: []byte(value), Revision: revision}}}, time.Now())
+		f.Apply(feed.Batch{Version: feed.Version{Revision: revision}, Items: []feed.Item{{Key: key, Value: []byte(value), Revision: revision}}}, time.Now())
 		s.refresh(time.Now())
 	}
 	put("q/x", "odd")
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -279,7 +279,8 @@
 	outcome := "served"
 	if err != nil {
 		outcome = fault.KindOf(err).String()
-		fields["outcome"], fields["stage"], fields["revision"] = outcome, c.stage.String(), s.options.CopyRevision()
+		fields["outcome"], fields["stage"] = outcome, c.stage.String()
+		fields["era"], fields["revision"] = s.options.CopyVersion()
 		s.options.Log.WithFields(fields).WithError(err).Warn("a request failed")
 	} else {
 		s.options.Log.WithFields(fields).Info("a request was served")
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -175,7 +175,7 @@
 	server := New(Options{
 		Drain: drain.New(log), Quota: newQuota(log),
 		Codec: headerCodec{}, Placer: g.placer, Reserver: g.engines, Group: g.group, Table: table,
-		ConfigAge: func() time.Duration { return 0 }, CopyRevision: func() uint64 { return 0 }, UpstreamID: func(string) string { return "" },
+		ConfigAge: func() time.Duration { return 0 }, CopyVersion: func() (uint64, uint64) { return 0, 0 }, UpstreamID: func(string) string { return "" },
 		Budget: retry.New(1, 100, time.Minute, func() int { return 1 }),
 		Dial:   dialer.TCP, Answers: quota.UpstreamAnswers(1 << 30), Random: rand.New(rand.NewPCG(1, 1)), Log: log,
 	})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -183,11 +183,11 @@
 	// Group runs work that outlasts a request: the release of reserved memory.
 	Group *group.Group
 	// Table returns the configuration in force, or nil, and ConfigAge the time
-	// since it was last known to be the newest. CopyRevision returns the revision of
-	// the platform up to which this host knows all changes.
-	Table        func() *route.Table
-	ConfigAge    func() time.Duration
-	CopyRevision func() uint64
+	// since it was last known to be the newest. CopyVersion returns the era and the
+	// revision of the platform up to which this host knows all changes.
+	Table       func() *route.Table
+	ConfigAge   func() time.Duration
+	CopyVersion func() (era, revision uint64)
 	// UpstreamID returns the id of the upstream at an address, or an empty
 	// string.
 	UpstreamID func(address string) string
