gate: a host that starts asks its peers for a newer configuration

What callers saw: 404 for an acknowledged route, and a revoked key accepted, at a host that started after the store came back from an older copy and before the operators wrote again; the other hosts had the newer configuration in force. Cause: as for the versions of the store, an older copy was taken for the operators' newest word; a host that starts has nothing to compare it with. Change: gate.newest returns the document in force on a host if it is newer; a host asks for it after its start until three peers had none. Documents have a file of their own.

--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -138,6 +138,7 @@
 		Random: newRandom(), Log: g.log,
 	})
 	g.places.Register(g.mux)
+	g.registerNewest(g.mux)
 	g.relay = relay.New(relay.Options{
 		Codec: g.adapter.Codec, Placer: g.places, Reserver: g.adapter.Reserver, Drain: g.drain, Quota: g.quota, Group: g.group, Table: g.state.Table, ConfigAge: g.feed.Age, CopyVersion: g.copyVersion, UpstreamID: g.state.UpstreamID,
 		Budget: retry.New(s.RetryRatio, s.RetryAllowance, s.RetryWindow, func() int { return len(g.members.Members()) }),
@@ -213,6 +214,7 @@
 	g.group.Go("membership", g.members.Run)
 	g.group.Go("feed", g.follower.Run)
 	g.group.Go("meeting", guard.Loop(g.log, "meeting", g.meet))
+	g.group.Go("newest configuration", guard.Loop(g.log, "newest configuration", g.learnNewest))
 	g.group.Go("state", guard.Loop(g.log, "state", g.state.Run))
 	g.group.Go("places", guard.Loop(g.log, "places", g.places.Run))
 	g.group.Go("quarantines", guard.Loop(g.log, "quarantines", g.crashes.Run))
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -52,8 +52,10 @@
 	log     logrus.FieldLogger
 	group   *group.Group
 
-	mu    sync.Mutex
-	table *route.Table
+	mu sync.Mutex
+	// table is the configuration in force, and document its text.
+	table    *route.Table
+	document document
 	// documentVersion is that of the last configuration document that was read, valid or
 	// not.
 	documentVersion feed.Version
@@ -213,38 +215,6 @@
 	return list
 }
 
-// applyDocument puts a newer configuration in force and reports whether it did. A platform
-// that came back from a copy may hold an older one until the operators write the lost one
-// again. The caller holds mu.
-func (s *state) applyDocument(key string, entry feed.Entry) bool {
-	if entry.Version.Compare(s.documentVersion) <= 0 {
-		return false
-	}
-	c, ok, err := s.adapter.DecodeDocument(key, entry.Value)
-	if !ok {
-		return false
-	}
-	s.documentVersion = entry.Version
-	log := s.log.WithFields(logrus.Fields{"revision": entry.Version.Revision, "era": entry.Version.Era})
-	if err != nil {
-		log.WithError(err).WithField("event", "config_refused").Error("a configuration cannot be read; the previous one stays in force")
-		return false
-	}
-	log = log.WithField("config", c.Version)
-	if s.table != nil && c.Version <= s.table.Version() {
-		if c.Version < s.table.Version() {
-			log.WithFields(logrus.Fields{"event": "config_older", "in_force": s.table.Version()}).
-				Warn("the platform holds an older configuration than the one in force, which stays in force")
-		}
-		return false
-	}
-	s.table = route.NewTable(c)
-	log.WithFields(logrus.Fields{
-		"event": "config_in_force", "routes": len(c.Routes), "services": len(c.Services), "keys": len(c.Keys),
-	}).Info("a configuration is in force")
-	return true
-}
-
 // applyRegistration records a new or changed registration and reports whether
 // the upstreams have to be regrouped. The caller holds mu.
 func (s *state) applyRegistration(key string, entry feed.Entry, now time.Time) bool {
