netem: a fabric can refuse and reset connections between two hosts

A fabric could only make connections between two hosts silent. Reset, Refuse and Break reset open ones, refuse new ones, and accept new ones that are reset before a byte. TestFabricFaults covers all four; go test ./internal/netem passes.

--- a/internal/netem/fabric.go
+++ b/internal/netem/fabric.go
@@ -23,9 +23,9 @@
 	// listeners and hostOf hold the listener and its host for each address.
 	listeners map[string]*listener
 	hostOf    map[string]string
-	// cuts holds the pairs of hosts that are cut off from each other. A pair has
-	// the order of the arguments of Cut.
-	cuts map[[2]string]bool
+	// cuts holds the pairs of hosts between which no connection can be opened. A pair
+	// has the order of the arguments of Cut.
+	cuts map[[2]string]cutMode
 	// dead holds the hosts that were killed.
 	dead map[string]bool
 	// frozen holds, for each frozen host, a channel that Thaw closes.
@@ -34,11 +34,23 @@
 	conns map[*conn]struct{}
 }
 
+// cutMode is what becomes of new connections between two hosts. At zero they work.
+type cutMode int
+
+const (
+	// cutSilent lets dials wait until their context ends.
+	cutSilent cutMode = iota + 1
+	// cutRefuse refuses dials.
+	cutRefuse
+	// cutAccept accepts dials and resets the connection before it carries a byte.
+	cutAccept
+)
+
 // NewFabric returns a fabric that delivers data after a one-way latency.
 func NewFabric(latency time.Duration) *Fabric {
 	return &Fabric{
 		latency: latency, listeners: map[string]*listener{}, hostOf: map[string]string{},
-		cuts: map[[2]string]bool{}, dead: map[string]bool{}, frozen: map[string]chan struct{}{},
+		cuts: map[[2]string]cutMode{}, dead: map[string]bool{}, frozen: map[string]chan struct{}{},
 		conns: map[*conn]struct{}{},
 	}
 }
@@ -69,18 +81,24 @@
 	l, to := h.fabric.listeners[address], h.fabric.hostOf[address]
 	// A frozen host still accepts connections, as the kernel does for a
 	// stopped process.
-	unreachable := h.fabric.cuts[[2]string{h.name, to}] || h.fabric.cuts[[2]string{to, h.name}]
-	if unreachable && !h.fabric.dead[h.name] {
+	cut := max(h.fabric.cuts[[2]string{h.name, to}], h.fabric.cuts[[2]string{to, h.name}])
+	if cut == cutSilent && !h.fabric.dead[h.name] {
 		h.fabric.mu.Unlock()
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	defer h.fabric.mu.Unlock()
-	if l == nil || h.fabric.dead[to] || h.fabric.dead[h.name] || l.isClosed() {
+	if l == nil || h.fabric.dead[to] || h.fabric.dead[h.name] || l.isClosed() || cut == cutRefuse {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
 	near, far := newConnPair(h.fabric, h.name, to)
-	h.fabric.conns[near], h.fabric.conns[far] = struct{}{}, struct{}{}
+	h.fabric.conns[near] = struct{}{}
+	if cut == cutAccept {
+		// The first write still succeeds, as it does before a reset has arrived.
+		time.AfterFunc(2*h.fabric.latency, near.reset)
+		return near, nil
+	}
+	h.fabric.conns[far] = struct{}{}
 	l.conns <- far
 	return near, nil
 }
@@ -105,10 +123,32 @@
 func (n *Fabric) Cut(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cuts[[2]string{a, b}] = true
+	n.cuts[[2]string{a, b}] = cutSilent
 	n.eachConn(a, b, func(c *conn) { c.silence() })
 }
 
+// Refuse refuses new connections between two hosts until RemoveCuts. Open ones live on.
+func (n *Fabric) Refuse(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a, b}] = cutRefuse
+}
+
+// Break accepts new connections between two hosts and resets them before a byte is
+// delivered, until RemoveCuts. Open ones live on.
+func (n *Fabric) Break(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a, b}] = cutAccept
+}
+
+// Reset resets the open connections between two hosts. New ones work.
+func (n *Fabric) Reset(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.eachConn(a, b, func(c *conn) { c.reset() })
+}
+
 // RemoveCuts removes all cuts. Connections that a cut made silent stay silent.
 func (n *Fabric) RemoveCuts() {
 	n.mu.Lock()
--- a/internal/netem/netem_test.go
+++ b/internal/netem/netem_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,3 +118,66 @@
 		require.Equal(t, []string{"k/1", "k/2"}, s.Keys("k/"))
 	})
 }
+
+// Guards against a fault between two hosts of a fabric that affects other connections
+// than it should, or that still has an effect after its removal.
+func TestFabricFaults(t *testing.T) {
+	cases := map[string]struct {
+		set func(n *Fabric, a, b string)
+		// old and fresh are the errors of an exchange on an open and on a new connection.
+		old, fresh error
+	}{
+		"cut":    {(*Fabric).Cut, os.ErrDeadlineExceeded, context.DeadlineExceeded},
+		"reset":  {(*Fabric).Reset, syscall.ECONNRESET, nil},
+		"refuse": {(*Fabric).Refuse, nil, syscall.ECONNREFUSED},
+		"break":  {(*Fabric).Break, nil, syscall.ECONNRESET},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := NewFabric(time.Millisecond)
+				g := group.New(t.Context())
+				l, err := n.Host("b").Listen(t.Context(), "b:1")
+				require.NoError(t, err)
+				g.Go("echo", func(context.Context) error {
+					for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+						g.Go("conn", func(context.Context) error { _, _ = io.Copy(c, c); return nil })
+					}
+					return nil
+				})
+				dial := func(host string) (net.Conn, error) {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+					defer cancel()
+					c, err := n.Host(host).Dial(ctx, "b:1")
+					if err != nil {
+						return nil, err
+					}
+					return c, exchange(c)
+				}
+				old, err := dial("a")
+				require.NoError(t, err)
+				tc.set(n, "a", "b")
+				require.ErrorIs(t, exchange(old), tc.old)
+				_, err = dial("a")
+				require.ErrorIs(t, err, tc.fresh)
+				_, err = dial("c")
+				require.NoError(t, err)
+				n.RemoveCuts()
+				_, err = dial("a")
+				require.NoError(t, err)
+				n.Close()
+				require.NoError(t, g.Wait())
+			})
+		})
+	}
+}
+
+// exchange sends a byte and awaits its echo.
+func exchange(c net.Conn) error {
+	if _, err := c.Write([]byte("x")); err != nil {
+		return err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(time.Second))
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err
+}
