Log which host reports an upstream, and count dials by result

Cause: the lines of the record cannot tell hosts that reach no upstream from upstreams that end: engine_failed and engine_ended lack the host on whose word they rest, and failed dials are seen in the lines of single requests only. Change: a field reporter in both lines, and verbenapier_relay_dials_total by result. Decisions are as before. Measured: tests of internal/crash, internal/relay and internal/place pass.

--- a/internal/crash/registry.go
+++ b/internal/crash/registry.go
@@ -82,8 +82,8 @@
 
 // Register adds the handler of the reports of other hosts.
 func (r *Registry) Register(m *wire.Mux) {
-	m.Handle(MethodReport, wire.Typed(func(_ context.Context, _ string, report Report) (struct{}, error) {
-		r.apply(report, takeoverDelay)
+	m.Handle(MethodReport, wire.Typed(func(_ context.Context, from string, report Report) (struct{}, error) {
+		r.apply(report, from, takeoverDelay)
 		return struct{}{}, nil
 	}))
 	m.Handle(MethodLearn, wire.Typed(func(_ context.Context, _ string, e Ends) (struct{}, error) {
@@ -101,7 +101,7 @@
 // other hosts without waiting for them. Of a request that had begun to be answered and was
 // not on trial they are told from the sharedEnds-th end on.
 func (r *Registry) Report(report Report) {
-	r.apply(report, 0)
+	r.apply(report, r.options.Members.Self().Name, 0)
 	if !report.Begun || len(report.Suspects) > 0 {
 		r.tell(MethodReport, report)
 		return
@@ -111,12 +111,12 @@
 	}
 }
 
-// apply records a report. A quarantine that follows from it is published after the
-// delay, unless another host does so before.
-func (r *Registry) apply(report Report, delay time.Duration) {
+// apply records a report of a host. A quarantine that follows from it is published after
+// the delay, unless another host does so before.
+func (r *Registry) apply(report Report, reporter string, delay time.Duration) {
 	q, decided := r.Ended(report)
 	fields := logrus.Fields{
-		"event": "engine_ended", "engine": report.Engine, "request_part": report.Content.Whole, "parts": report.Content.Shared,
+		"event": "engine_ended", "engine": report.Engine, "reporter": reporter, "request_part": report.Content.Whole, "parts": report.Content.Shared,
 		"begun": report.Begun, "trial": report.Suspects,
 	}
 	if !decided {
--- a/internal/place/report.go
+++ b/internal/place/report.go
@@ -200,7 +200,7 @@
 	case EngineFailed:
 		faulty.recordFailure(now)
 		p.log.WithFields(logrus.Fields{
-			"event": "engine_failed", "cell": p.cell, "request": j.ID, "upstream": faulty.ID,
+			"event": "engine_failed", "cell": p.cell, "request": j.ID, "upstream": faulty.ID, "reporter": j.Node,
 			"failures": faulty.failures, "barred_ms": faulty.barredUntil.Sub(now).Milliseconds(),
 		}).Warn("an engine failed a request and gets no new ones for a time")
 	case Rejected:
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -1,6 +1,10 @@
 package relay
 
 import (
+	"context"
+	"errors"
+	"os"
+	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -23,6 +27,24 @@
 	tagged.Timer("request_seconds").Record(took)
 }
 
+// recordDial counts an attempt to connect to an upstream by its result.
+func (m metrics) recordDial(err error) {
+	result := "failed"
+	switch {
+	case err == nil:
+		result = "connected"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		result = "refused"
+	case errors.Is(err, syscall.ECONNRESET):
+		result = "reset"
+	case errors.Is(err, context.Canceled):
+		result = "canceled"
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+		result = "timeout"
+	}
+	m.scope.Tagged(map[string]string{"result": result}).Counter("dials_total").Inc(1)
+}
+
 // recordPanic counts a request that met an unexpected error of the gateway itself.
 func (m metrics) recordPanic() { m.scope.Counter("panics_total").Inc(1) }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -227,13 +227,16 @@
 
 // New returns a server.
 func New(o Options) *Server {
+	metrics := newMetrics(o.Metrics)
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 		defer cancel()
-		return o.Dial(ctx, address)
+		conn, err := o.Dial(ctx, address)
+		metrics.recordDial(err)
+		return conn, err
 	}
 	return &Server{
-		options: o, started: time.Now(), random: o.Random, metrics: newMetrics(o.Metrics),
+		options: o, started: time.Now(), random: o.Random, metrics: metrics,
 		client:  dialer.Client(dial, o.Answers).Client,
 		buffers: sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }},
 	}
