feed: a late batch of a peer does not restore a deleted key

What callers saw: requests sent to a server that had left, until its key was listed again. Cause: a copy takes an item that it does not hold, also one from before its version. All changes up to its version are in the copy, so such an item was deleted since; a list that does not name it left no tombstone. Change: an item up to the version of the copy is taken only from a list of all keys that is as new as the copy. Measured: TestLateBatch failed in both cases and passes.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -144,8 +144,11 @@
 		result, changed = Replaced, true
 		f.beginEra(b.Era, now)
 	}
+	// A change up to the version of the copy that it does not hold was followed by a
+	// deletion, unless the batch lists all keys of now.
+	newest := b.Complete && b.Revision >= f.version.Revision
 	for _, item := range b.Items {
-		if f.items[item.Key].Revision < item.Revision {
+		if (newest || item.Revision > f.version.Revision) && f.items[item.Key].Revision < item.Revision {
 			f.items[item.Key] = record{item, now, item.compress()}
 			changed = true
 		}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -180,3 +180,28 @@
 	f.Apply(Batch{Version: Version{Revision: 6}, Age: 10 * time.Second}, now)
 	require.Equal(t, now, f.syncedAt, "an older batch of a peer must not make the copy older")
 }
+
+// listed is a complete batch of an era with the given keys.
+func listed(era, revision uint64, items ...Item) Batch {
+	return Batch{Version: Version{era, revision}, Complete: true, Items: items}
+}
+
+// Guards against a deleted key that comes back with an answer of a peer that was sent
+// before, after a return of the platform and when a node starts.
+func TestLateBatch(t *testing.T) {
+	kept, deleted := Item{Key: "a", Revision: 3}, Item{Key: "deleted", Revision: 5}
+	for name, before := range map[string]Batch{
+		"after a return": listed(1, 100, Item{Key: "a", Revision: 100}),
+		"at the start":   {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, peer := newFeed(), newFeed()
+			f.Apply(before, time.Now())
+			peer.Apply(listed(2, 8, kept, deleted), time.Now())
+			late := peer.changesSince(f.Version())
+			f.Apply(listed(2, 12, kept), time.Now())
+			f.Apply(late, time.Now())
+			require.NotContains(t, f.Live(), "deleted")
+		})
+	}
+}
