gate: a departure belongs to the era of the keys that show it

What callers would see: requests sent to an engine that had announced that it leaves, at a host that hears of a return of the store while it applies the announcement. Cause: the keys and the era were read from the copy one after the other. Measured: TestReturns 'leaves as the return is heard of' failed and passes.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -264,6 +264,13 @@
 
 // Live returns the keys that are not deleted.
 func (f *Feed) Live() map[string]Entry {
+	live, _ := f.Snapshot()
+	return live
+}
+
+// Snapshot returns the keys that are not deleted, and the version of the copy that holds
+// them.
+func (f *Feed) Snapshot() (map[string]Entry, Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	live := make(map[string]Entry, len(f.items))
@@ -272,7 +279,7 @@
 			live[key] = Entry{r.Value, Version{f.version.Era, r.Revision}}
 		}
 	}
-	return live
+	return live, f.version
 }
 
 // changesSince returns the changes after a version, in the form that is sent to other
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -85,7 +85,7 @@
 type departure struct {
 	at      time.Time
 	process string
-	// era is that of the copy of the platform's keys at the time.
+	// era is that of the platform's keys that show it.
 	era uint64
 }
 
@@ -154,7 +154,7 @@
 
 // refresh applies the current keys.
 func (s *state) refresh(now time.Time) {
-	live := s.feed.Live()
+	live, version := s.feed.Snapshot()
 	s.crashes.Sync(s.quarantines(live))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -164,7 +164,7 @@
 		changed = s.apply(key, entry, now) || changed
 	}
 	maps.DeleteFunc(s.faulty, func(key string, _ feed.Version) bool { _, ok := live[key]; return !ok })
-	changed = s.removeMissing(live, now) || changed
+	changed = s.removeMissing(live, version.Era, now) || changed
 	for id, d := range s.gone {
 		if now.Sub(d.at) > goneRetention {
 			delete(s.gone, id)
@@ -230,7 +230,7 @@
 		s.log.WithError(err).WithFields(logrus.Fields{"event": "registration_refused", "key": key, "revision": entry.Version.Revision}).
 			Warn("a registration could not be decoded or names no usable upstream")
 		if known != nil && !known.invalid {
-			s.depart(known.Upstream, now)
+			s.depart(known.Upstream, entry.Version.Era, now)
 		}
 	}
 	r := &registration{Upstream: u, version: entry.Version, invalid: err != nil}
@@ -254,7 +254,7 @@
 	if r.Leaving || !departed || d.process != r.Process() || d.era >= r.version.Era {
 		delete(s.gone, r.ID)
 		if r.Leaving {
-			s.depart(r.Upstream, now)
+			s.depart(r.Upstream, r.version.Era, now)
 		}
 		return
 	}
@@ -270,15 +270,15 @@
 	r.Leaving = true
 }
 
-// depart records that an upstream left or leaves. The caller holds mu.
-func (s *state) depart(u place.Upstream, now time.Time) {
-	s.gone[u.ID] = departure{at: now, process: u.Process(), era: s.feed.Version().Era}
+// depart records that an upstream left or leaves in an era. The caller holds mu.
+func (s *state) depart(u place.Upstream, era uint64, now time.Time) {
+	s.gone[u.ID] = departure{at: now, process: u.Process(), era: era}
 }
 
 // removeMissing removes upstreams whose registration is missing, and reports
 // whether there were any. An upstream whose registration may have lapsed in an
 // outage of the platform is kept for lapseHold. The caller holds mu.
-func (s *state) removeMissing(live map[string]feed.Entry, now time.Time) bool {
+func (s *state) removeMissing(live map[string]feed.Entry, era uint64, now time.Time) bool {
 	removed := false
 	for key, r := range s.upstreams {
 		if _, ok := live[key]; ok {
@@ -296,7 +296,7 @@
 		if r.invalid {
 			continue
 		}
-		s.depart(r.Upstream, now)
+		s.depart(r.Upstream, era, now)
 		s.log.WithFields(logrus.Fields{"event": "upstream_gone", "upstream": r.ID, "service": r.Service}).
 			Info("an upstream is no longer registered")
 		removed = true
