gate: a copy that names an earlier process of an upstream is doubted

What callers would see: requests sent to an engine that leaves, after a return of the store to a copy from before its last restart: both processes have its id, so the engine takes them. Cause: a registration was doubted only for the very process that had left. Change: only a successor, by its start time, is trusted at once. Measured: TestReturns 'left, and a process before it is registered' failed and passes.

--- a/internal/gate/return_test.go
+++ b/internal/gate/return_test.go
@@ -101,6 +101,11 @@
 			r.refresh(r.now)
 			r.refresh(r.now)
 		}, false},
+		"left, and a process before it is registered": {func(r *returnState) {
+			r.list(1, 11, "available 2")
+			r.list(1, 12, "draining 2")
+			r.list(2, 10, "available 1")
+		}, false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -83,8 +83,9 @@
 
 // departure states that an upstream left or announced that it leaves.
 type departure struct {
-	at      time.Time
-	process string
+	at time.Time
+	// started is the start time of its process.
+	started time.Time
 	// era is that of the platform's keys that show it.
 	era uint64
 }
@@ -246,12 +247,12 @@
 	return known == nil || known.invalid != (err != nil)
 }
 
-// settle records whether the upstream of a new registration leaves. One of an era in
-// which its process has not been seen before it left counts as leaving while it is
-// doubted. The caller holds mu.
+// settle records whether the upstream of a new registration leaves. If it left in an
+// earlier era, and no successor of its process is registered, it counts as leaving while
+// the registration is doubted. The caller holds mu.
 func (s *state) settle(r, known *registration, now time.Time) {
 	d, departed := s.gone[r.ID]
-	if r.Leaving || !departed || d.process != r.Process() || d.era >= r.version.Era {
+	if r.Leaving || !departed || r.Started.After(d.started) || d.era >= r.version.Era {
 		delete(s.gone, r.ID)
 		if r.Leaving {
 			s.depart(r.Upstream, r.version.Era, now)
@@ -272,7 +273,7 @@
 
 // depart records that an upstream left or leaves in an era. The caller holds mu.
 func (s *state) depart(u place.Upstream, era uint64, now time.Time) {
-	s.gone[u.ID] = departure{at: now, process: u.Process(), era: era}
+	s.gone[u.ID] = departure{at: now, started: u.Started, era: era}
 }
 
 // removeMissing removes upstreams whose registration is missing, and reports
