gate: each return of the store has a hold and a doubt of its own

What callers saw: 503 on all hosts in two returns 1.3 s apart, and requests sent to a server that leaves, within 4 s of the second return. Cause: the time for which a missing registration is kept, and that for which a registration is doubted, went on from the first return. Change: both begin anew in a later era. Measured: TestReturns 'left before two returns' and 'lapses in two returns' failed and pass.

--- a/internal/gate/return_test.go
+++ b/internal/gate/return_test.go
@@ -106,6 +106,19 @@
 			r.list(1, 12, "draining 2")
 			r.list(2, 10, "available 1")
 		}, false},
+		"left before two returns": {func(r *returnState) {
+			r.list(1, 11, "draining 1")
+			r.list(2, 5, "available 1")
+			r.pass(doubtTime - 100*time.Millisecond)
+			r.list(3, 5, "available 1")
+			r.pass(200 * time.Millisecond)
+		}, false},
+		"lapses in two returns": {func(r *returnState) {
+			r.list(2, 5, "")
+			r.pass(lapseHold - 100*time.Millisecond)
+			r.list(3, 5, "")
+			r.pass(200 * time.Millisecond)
+		}, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -100,9 +100,10 @@
 type registration struct {
 	place.Upstream
 	version feed.Version
-	// lapsedAt is when the registration was first found missing after an outage,
-	// or zero.
-	lapsedAt time.Time
+	// lapsedAt is when the registration was first found missing after an outage, in
+	// lapsedEra, or zero.
+	lapsedAt  time.Time
+	lapsedEra uint64
 	// doubtedAt is when the registration was first doubted (see doubtTime), or zero.
 	doubtedAt time.Time
 	// invalid says that the registration could not be decoded or names no
@@ -260,7 +261,7 @@
 		return
 	}
 	r.doubtedAt = now
-	if known != nil && !known.doubtedAt.IsZero() {
+	if known != nil && !known.doubtedAt.IsZero() && known.version.Era == r.version.Era {
 		r.doubtedAt = known.doubtedAt
 	}
 	if now.Sub(r.doubtedAt) >= doubtTime {
@@ -285,8 +286,8 @@
 		if _, ok := live[key]; ok {
 			continue
 		}
-		if r.lapsedAt.IsZero() && !r.invalid && s.feed.SinceOutage() < lapseWindow {
-			r.lapsedAt = now
+		if (r.lapsedAt.IsZero() || r.lapsedEra < era) && !r.invalid && s.feed.SinceOutage() < lapseWindow {
+			r.lapsedAt, r.lapsedEra = now, era
 			s.log.WithFields(logrus.Fields{"event": "upstream_lapsed", "upstream": r.ID, "service": r.Service}).
 				Warn("a registration lapsed in an outage of the platform; the upstream is kept for a time")
 		}
