gate: an upstream whose registration lapsed is not doubted

Cause: a registration that lapsed counted as a departure in its own right. Change: the departure says so, and such an upstream is trusted as soon as it is back. Measured: TestReturns 'lapses too long, and is registered after another return' failed and passes.

--- a/internal/gate/return_test.go
+++ b/internal/gate/return_test.go
@@ -119,6 +119,11 @@
 			r.list(3, 5, "")
 			r.pass(200 * time.Millisecond)
 		}, true},
+		"lapses too long, and is registered after another return": {func(r *returnState) {
+			r.list(2, 5, "")
+			r.pass(lapseHold)
+			r.list(3, 5, "available 1")
+		}, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -88,6 +88,8 @@
 	started time.Time
 	// era is that of the platform's keys that show it.
 	era uint64
+	// lapsed is set if the upstream may run: its registration lapsed in an outage.
+	lapsed bool
 }
 
 // cellEngines holds the engines of a cell.
@@ -253,7 +255,7 @@
 // the registration is doubted. The caller holds mu.
 func (s *state) settle(r, known *registration, now time.Time) {
 	d, departed := s.gone[r.ID]
-	if r.Leaving || !departed || r.Started.After(d.started) || d.era >= r.version.Era {
+	if r.Leaving || !departed || d.lapsed || r.Started.After(d.started) || d.era >= r.version.Era {
 		delete(s.gone, r.ID)
 		if r.Leaving {
 			s.depart(r.Upstream, r.version.Era, now)
@@ -277,6 +279,13 @@
 	s.gone[u.ID] = departure{at: now, started: u.Started, era: era}
 }
 
+// lapse records that an upstream which left may run. The caller holds mu.
+func (s *state) lapse(id string) {
+	d := s.gone[id]
+	d.lapsed = true
+	s.gone[id] = d
+}
+
 // removeMissing removes upstreams whose registration is missing, and reports
 // whether there were any. An upstream whose registration may have lapsed in an
 // outage of the platform is kept for lapseHold. The caller holds mu.
@@ -299,6 +308,9 @@
 			continue
 		}
 		s.depart(r.Upstream, era, now)
+		if !r.lapsedAt.IsZero() && !r.Leaving {
+			s.lapse(r.ID)
+		}
 		s.log.WithFields(logrus.Fields{"event": "upstream_gone", "upstream": r.ID, "service": r.Service}).
 			Info("an upstream is no longer registered")
 		removed = true
