gate: the doubt of an upstream outlasts its lapsed registration

What callers would see: requests sent to an engine that leaves: it announced that before a return of the store, its registration was missing for over 2.2 s after it, and then came back as that of the copy. Cause: the lapse counted as a new departure, in the new era. Change: a departure keeps the era in which the process first left. Measured: TestReturns 'left, lapses, and is registered' failed and passes.

--- a/internal/gate/return_test.go
+++ b/internal/gate/return_test.go
@@ -124,6 +124,12 @@
 			r.pass(lapseHold)
 			r.list(3, 5, "available 1")
 		}, true},
+		"left, lapses, and is registered": {func(r *returnState) {
+			r.list(1, 11, "draining 1")
+			r.list(2, 5, "")
+			r.pass(lapseHold)
+			r.list(2, 7, "available 1")
+		}, false},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -274,8 +274,12 @@
 	r.Leaving = true
 }
 
-// depart records that an upstream left or leaves in an era. The caller holds mu.
+// depart records that an upstream left or leaves in an era. An earlier era stays if its
+// process has left before. The caller holds mu.
 func (s *state) depart(u place.Upstream, era uint64, now time.Time) {
+	if d, ok := s.gone[u.ID]; ok && d.started.Equal(u.Started) {
+		era = min(era, d.era)
+	}
 	s.gone[u.ID] = departure{at: now, started: u.Started, era: era}
 }
 
