--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -147,9 +147,27 @@
 		result, changed = Replaced, true
 		f.beginEra(b.Era, now)
 	}
+	changed = f.merge(b, now) || changed
+	if b.Complete && b.Revision > f.version.Revision {
+		f.base = b.Revision
+	}
+	f.version.Revision = max(f.version.Revision, b.Revision)
+	f.recordSync(b, received, now)
+	f.dropTombstones(now)
+	if changed {
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+	return result
+}
+
+// merge adds the items of a batch of the era of the copy, and reports whether any was new.
+// The caller holds mu.
+func (f *Feed) merge(b Batch, now time.Time) bool {
 	// A change up to the version of the copy that it does not hold was followed by a
 	// deletion, unless the batch lists all keys of now.
 	newest := b.Complete && b.Revision >= f.version.Revision
+	changed := false
 	for _, item := range b.Items {
 		if (newest || item.Revision > f.version.Revision) && f.items[item.Key].Revision < item.Revision {
 			f.items[item.Key] = record{item, now, item.compress()}
@@ -159,21 +177,17 @@
 	if b.Complete {
 		changed = f.removeMissing(b, now) || changed
 	}
-	if b.Complete && b.Revision > f.version.Revision {
-		f.base = b.Revision
-	}
-	f.version.Revision = max(f.version.Revision, b.Revision)
-	f.recordSync(b, received, now)
+	return changed
+}
+
+// dropTombstones drops the tombstones that have been kept for tombstoneTime. The caller
+// holds mu.
+func (f *Feed) dropTombstones(now time.Time) {
 	for key, r := range f.items {
 		if r.Deleted && now.Sub(r.updatedAt) > tombstoneTime {
 			delete(f.items, key)
 		}
 	}
-	if changed {
-		close(f.changed)
-		f.changed = make(chan struct{})
-	}
-	return result
 }
 
 // beginEra drops the copy of an earlier era. The platform was away when it came back, and
