--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -217,7 +217,13 @@
 		}
 		batch, err := f.readPlatform(ctx, after, wait)
 		if err == nil && f.apply(batch, "platform") == Unusable {
-			err = fault.New(fault.Stale, "the answer is of era %d", batch.Era)
+			// The next answer may be of an earlier era, too.
+			after = Version{}
+			if !f.sleep(ctx, pause) {
+				break
+			}
+			pause = min(2*pause, retryMax)
+			continue
 		}
 		if err == nil {
 			f.options.Feed.setDirect(true)
