crash: ends of engines that go on heartbeating are withdrawn

Cause: a host that is cut from an engine reports its end to all hosts. The parts of the request are suspected and quarantined everywhere, and nothing withdrew that when the engine turned out to live: the quarantine lasted two minutes or longer, and hosts that started later adopted it from the store.

Change: each host remembers the processes that are said to have ended, by its own loss, a report, what peers know, or a quarantine that it adopts. When such a process is still registered 6 s later, and the copy of the registrations was up to date all the while, what rests on its end is removed from the records, and the quarantines that were decided on it are refuted and withdrawn from the store. Processes without a start time are left out. Ends that hosts tell each other name the process of each request.

--- a/internal/crash/publish.go
+++ b/internal/crash/publish.go
@@ -53,9 +53,10 @@
 	}
 	learning := group.New(ctx)
 	learning.Go("learning", guard.Loop(r.options.Log, "learning", r.learnAll))
+	learning.Go("verification", guard.Loop(r.options.Log, "verification", r.verifyAll))
 	defer func() {
 		learning.Stop()
-		// learnAll returns no error, and a loop that ends with a panic has logged it.
+		// Neither returns an error, and a loop that ends with a panic has logged it.
 		_ = learning.Wait()
 	}()
 	ticker := time.NewTicker(interval)
--- a/internal/crash/registry.go
+++ b/internal/crash/registry.go
@@ -48,10 +48,16 @@
 	Members Members
 	Caller  wire.Caller
 	// Store is nil if hosts learn quarantines from their peers only.
-	Store   Store
-	Group   *group.Group
-	Log     logrus.FieldLogger
-	Metrics tally.Scope
+	Store Store
+	// Registered reports whether a process is registered with the platform. It is nil where
+	// processes do not register, and false for processes without a start time: their
+	// successor has the same name. Current reports whether what this host knows of the
+	// registrations is up to date.
+	Registered func(process string) bool
+	Current    func() bool
+	Group      *group.Group
+	Log        logrus.FieldLogger
+	Metrics    tally.Scope
 }
 
 // Registry shares what hosts know of content that ends engines. Reports go to all
@@ -127,6 +133,10 @@
 	fields["event"], fields["quarantine"], fields["until"] = "quarantined", q.Parts, q.Until
 	r.options.Log.WithFields(fields).Warn("an engine ended in the trial of suspected content; requests with it are refused")
 	guard.Locked(&r.mu, func() { r.dueAt[q.Key()] = time.Now().Add(delay) })
+	r.wakeRun()
+}
+
+func (r *Registry) wakeRun() {
 	select {
 	case r.wake <- struct{}{}:
 	default:
--- a/internal/crash/share.go
+++ b/internal/crash/share.go
@@ -27,16 +27,36 @@
 
 // Ends is what a host knows of the engines that ended on a part.
 type Ends struct {
-	Part     Part          `json:"part"`
-	Engines  []string      `json:"engines"`
-	Requests []Part        `json:"requests,omitempty"`
-	Answered bool          `json:"answered,omitempty"`
-	Age      time.Duration `json:"age_ns"`
+	Part     Part     `json:"part"`
+	Engines  []string `json:"engines"`
+	Requests []Part   `json:"requests,omitempty"`
+	// RequestEngines are the processes that ended on the requests, in the same order.
+	RequestEngines []string      `json:"request_engines,omitempty"`
+	Answered       bool          `json:"answered,omitempty"`
+	Age            time.Duration `json:"age_ns"`
 }
 
 // ends returns what is known of a part. The caller holds mu.
 func (r *record) ends(p Part, now time.Time) Ends {
-	return Ends{Part: p, Engines: slices.Clone(r.engines), Requests: slices.Clone(r.requests), Answered: r.answered, Age: now.Sub(r.endedAt)}
+	e := Ends{Part: p, Engines: slices.Clone(r.engines), Answered: r.answered, Age: now.Sub(r.endedAt)}
+	for _, end := range r.requests {
+		e.Requests, e.RequestEngines = append(e.Requests, end.request), append(e.RequestEngines, end.engine)
+	}
+	return e
+}
+
+// requestEnds returns the requests with their processes. A host of an earlier release does
+// not name the processes.
+func (e Ends) requestEnds() []requestEnd {
+	var ends []requestEnd
+	for i, request := range e.Requests {
+		end := requestEnd{request: request}
+		if i < len(e.RequestEngines) {
+			end.engine = e.RequestEngines[i]
+		}
+		ends = append(ends, end)
+	}
+	return ends
 }
 
 // AllEnds returns what is known of the parts on which engines ended lately.
@@ -65,17 +85,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(e.Part)
-	r.engines, r.requests = merge(r.engines, e.Engines), merge(r.requests, e.Requests)
+	r.engines, r.requests = merge(r.engines, e.Engines, maxEngines), merge(r.requests, e.requestEnds(), maxRequests)
 	r.answered = r.answered || e.Answered
-	if at := time.Now().Add(-e.Age); at.After(r.endedAt) {
+	at := time.Now().Add(-e.Age)
+	if at.After(r.endedAt) {
 		r.endedAt = at
 	}
+	for _, engine := range e.Engines {
+		t.verifyLater(engine, at)
+	}
 }
 
-// merge adds what a list lacks, up to maxEngines elements.
-func merge[T comparable](list, more []T) []T {
+// merge adds what a list lacks, up to limit elements.
+func merge[T comparable](list, more []T, limit int) []T {
 	for _, v := range more {
-		if len(list) < maxEngines && !slices.Contains(list, v) {
+		if len(list) < limit && !slices.Contains(list, v) {
 			list = append(list, v)
 		}
 	}
--- a/internal/crash/share_test.go
+++ b/internal/crash/share_test.go
@@ -23,6 +23,9 @@
 	mu sync.Mutex
 	// muxes are by the name of the host.
 	muxes map[string]*wire.Mux
+	// registered and current are those of all hosts, or nil.
+	registered func(process string) bool
+	current    func() bool
 }
 
 func (hs *hosts) mux(name string) *wire.Mux {
@@ -72,7 +75,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	mux := wire.NewMux()
-	r := NewRegistry(Options{Members: host{hs, name}, Caller: host{hs, name}, Group: g, Log: log})
+	r := NewRegistry(Options{Members: host{hs, name}, Caller: host{hs, name}, Registered: hs.registered, Current: hs.current, Group: g, Log: log})
 	r.Register(mux)
 	hs.mu.Lock()
 	hs.muxes[name] = mux
--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -12,8 +12,10 @@
 	// maxRecords bounds the parts that are remembered. The least recently used are
 	// forgotten first.
 	maxRecords = 8192
-	// maxEngines bounds the engines that are remembered for a part.
-	maxEngines = 16
+	// maxEngines bounds the engines that are remembered for a part, and maxRequests the
+	// requests on which they ended.
+	maxEngines  = 16
+	maxRequests = 64
 	// A part that was never answered is suspected after the first end of an engine.
 	// One that was answered before is suspected after endsOfKnown ends without an
 	// answer between them, since most such ends have another cause.
@@ -49,12 +51,33 @@
 	// engines are the processes that ended on the part since it was last answered.
 	engines []string
 	endedAt time.Time
-	// requests are the requests on which these processes ended.
-	requests []Part
+	// requests are the requests on which these processes ended, each with the process.
+	requests []requestEnd
 	// answered is set once a request with the part began to be answered.
 	answered bool
 }
 
+// requestEnd is a request and a process that ended while it ran the request.
+type requestEnd struct {
+	request Part
+	engine  string
+}
+
+// add records the end of a process on a request.
+func (r *record) add(engine string, request Part) {
+	r.engines = merge(r.engines, []string{engine}, maxEngines)
+	r.requests = merge(r.requests, []requestEnd{{request, engine}}, maxRequests)
+}
+
+// differentRequests returns the number of different requests on which processes ended.
+func (r *record) differentRequests() int {
+	different := map[Part]bool{}
+	for _, e := range r.requests {
+		different[e.request] = true
+	}
+	return len(different)
+}
+
 func (r *record) suspected(now time.Time) bool {
 	limit := 1
 	if r.answered {
@@ -76,6 +99,9 @@
 	quarantines map[string]Quarantine
 	// refuted holds the quarantines with parts that turned out to be sound, by key.
 	refuted map[string]refutation
+	// unverified holds the processes that are said to have ended, with the time of the
+	// first such evidence (see Unverified).
+	unverified map[string]time.Time
 }
 
 // refutation is a quarantine, decided when an engine ended, that was refuted.
@@ -90,7 +116,7 @@
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &Tracker{records: records, quarantines: map[string]Quarantine{}, refuted: map[string]refutation{}}
+	return &Tracker{records: records, quarantines: map[string]Quarantine{}, refuted: map[string]refutation{}, unverified: map[string]time.Time{}}
 }
 
 // Check returns how a request may run.
@@ -141,7 +167,7 @@
 	if !t.common(parts) {
 		return true
 	}
-	return !slices.ContainsFunc(parts, func(p Part) bool { return len(t.record(p).requests) < endsOfCommon })
+	return !slices.ContainsFunc(parts, func(p Part) bool { return t.record(p).differentRequests() < endsOfCommon })
 }
 
 // own returns the request as a whole as the one suspect if it has ended engines before. The
@@ -199,13 +225,9 @@
 		r := t.record(p)
 		r.answered = r.answered || report.Begun
 		r.endedAt = now
-		if !slices.Contains(r.engines, report.Engine) && len(r.engines) < maxEngines {
-			r.engines = append(r.engines, report.Engine)
-		}
-		if id := report.Content.id(); !slices.Contains(r.requests, id) && len(r.requests) < maxEngines {
-			r.requests = append(r.requests, id)
-		}
+		r.add(report.Engine, report.Content.id())
 	}
+	t.verifyLater(report.Engine, now)
 	t.expire(now)
 	suspects := slices.DeleteFunc(slices.Clone(report.Suspects), func(p Part) bool {
 		// A trial that had begun to be answered is no evidence for a part that was
@@ -298,6 +320,7 @@
 	}
 	delete(t.refuted, key)
 	t.quarantines[key] = q
+	t.verifyLater(q.Engine, q.Until.Add(-q.Term))
 	// After the quarantine, its parts are on trial.
 	for _, p := range q.Parts {
 		r := t.record(p)
--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -166,6 +166,9 @@
 	g.follower.Register(g.mux)
 	g.crashes = crash.NewRegistry(crash.Options{
 		Members: g.members, Caller: g.peerClient, Store: g.adapter.Quarantines, Group: g.group, Log: g.log, Metrics: metrics.SubScope("crash"),
+		// The state is built after the registry, which it fills.
+		Registered: func(process string) bool { return g.state.Registered(process) },
+		Current:    func() bool { return g.state.Current() },
 	})
 	g.crashes.Register(g.mux)
 	g.state = newState(s.Name, g.feed, g.adapter, g.crashes, g.notices, g.members.Members, g.group, g.log)
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -27,6 +27,8 @@
 	// return within two seconds.
 	lapseWindow = time.Second
 	lapseHold   = 2200 * time.Millisecond
+	// maxCopyAge is the age up to which the copy of the platform's keys counts as up to date.
+	maxCopyAge = 1800 * time.Millisecond
 	// goneRetention is how long an upstream that left is remembered. The owner
 	// of a cell may have an older copy of the keys and still grant such an
 	// upstream; this node rejects the grant.
@@ -394,6 +396,24 @@
 	return ""
 }
 
+// Registered reports whether a process of an upstream is registered. It is false for a
+// process without a start time, whose successor has the same name.
+func (s *state) Registered(process string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.upstreams {
+		if !r.invalid && r.lapsedAt.IsZero() && !r.Started.IsZero() && r.Process() == process {
+			return true
+		}
+	}
+	return false
+}
+
+// Current reports whether the registrations that this node knows are up to date.
+func (s *state) Current() bool {
+	return s.feed.Age() < maxCopyAge && s.feed.SinceOutage() >= lapseWindow
+}
+
 // UpstreamGone reports whether an upstream is leaving, or left within
 // goneRetention.
 func (s *state) UpstreamGone(id string) bool {
