place: the end of an upstream takes a witness

Cause: a host that is cut from all engines took a reset connection and a failed check of its own for the end of the engine, and reported it to all hosts. What all prompts share was suspected, tried and quarantined, and every host refused every stream of the service, though no engine was harmed.

Change: when the check of a host fails, it asks up to four alive peers, those of other failure domains first, whether they reach the process (place.reach). An upstream has ended if a host that reaches other upstreams at that moment does not reach it, or another process answers at its address, and no host reaches it. If none can tell, it counts as running, unless the host knows no other upstream at all: then its own check decides, and the registration shows later whether it was right. The call names an id and a process; a peer checks only what is registered with it. Requests that lost the same upstream share one inquiry, and hosts that ask a peer share its check; results hold for 0.3 s. No lock is held meanwhile.

--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -139,8 +139,13 @@
 	})
 	g.places.Register(g.mux)
 	g.registerNewest(g.mux)
+	witnesses := place.NewWitnesses(place.WitnessesOptions{
+		Members: g.members, Caller: g.peerClient, Upstreams: g.state.Registrations, Check: g.adapter.Reserver.Alive, Notices: g.notices,
+		Group: g.group, Random: newRandom(), Log: g.log,
+	})
+	witnesses.Register(g.mux)
 	g.relay = relay.New(relay.Options{
-		Codec: g.adapter.Codec, Placer: g.places, Reserver: g.adapter.Reserver, Drain: g.drain, Quota: g.quota, Group: g.group, Table: g.state.Table, ConfigAge: g.feed.Age, CopyVersion: g.copyVersion, UpstreamID: g.state.UpstreamID,
+		Codec: g.adapter.Codec, Placer: g.places, Reserver: g.adapter.Reserver, Witnesses: witnesses, Drain: g.drain, Quota: g.quota, Group: g.group, Table: g.state.Table, ConfigAge: g.feed.Age, CopyVersion: g.copyVersion, UpstreamID: g.state.UpstreamID,
 		Budget: retry.New(s.RetryRatio, s.RetryAllowance, s.RetryWindow, func() int { return len(g.members.Members()) }),
 		Dial:   o.Network.Dial, Answers: answers, Random: newRandom(), Log: g.log, Metrics: metrics.SubScope("relay"),
 	})
--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -383,6 +383,17 @@
 	return s.services[service]
 }
 
+// Registrations returns the upstreams of all services.
+func (s *state) Registrations() []place.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []place.Upstream
+	for _, upstreams := range s.services {
+		list = append(list, upstreams...)
+	}
+	return list
+}
+
 // UpstreamID returns the id of the upstream that has the given address or id, or
 // an empty string.
 func (s *state) UpstreamID(addressOrID string) string {
--- /dev/null
+++ b/internal/place/witness.go
@@ -0,0 +1,311 @@
+package place
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/verbenapier/verbenapier/internal/guard"
+	"github.com/verbenapier/verbenapier/internal/member"
+	"github.com/verbenapier/verbenapier/internal/wire"
+	"github.com/verbenapier/verbenapier/pkg/fault"
+	"github.com/verbenapier/verbenapier/pkg/group"
+)
+
+// MethodReach asks a peer whether it reaches a process of an upstream.
+const MethodReach = "place.reach"
+
+const (
+	// reachTimeout bounds the check of whether an upstream answers. It is several times
+	// the latency between failure domains.
+	reachTimeout = 300 * time.Millisecond
+	// witnessTimeout bounds the call of a peer, with the checks that it makes at once.
+	witnessTimeout = reachTimeout + 100*time.Millisecond
+	// maxWitnesses bounds the peers that are asked about the end of an upstream.
+	maxWitnesses = 4
+	// Once enoughWitnesses nodes have found that an upstream does not answer, the others
+	// have lateWitnessTime to contradict them.
+	enoughWitnesses = 2
+	lateWitnessTime = 100 * time.Millisecond
+	// maxControls bounds the other upstreams by which a node finds out whether it reaches
+	// any.
+	maxControls = 3
+	// reachKeepTime is how long the result of a check or of an inquiry is used again.
+	reachKeepTime = 300 * time.Millisecond
+)
+
+// Reach is what a node finds out about a process of an upstream.
+type Reach string
+
+// The results of a check.
+const (
+	// Reached processes answered.
+	Reached Reach = "reached"
+	// NotReached processes did not answer, or another one answered at their address, while
+	// other upstreams answer this node.
+	NotReached Reach = "not_reached"
+	// NotLinked means that the node cannot tell: no other upstream answers it either, it
+	// does not know the process, or the process asked it for a pause.
+	NotLinked Reach = "not_linked"
+)
+
+// reachCall is the parameter of MethodReach. It names no address: a node connects only to
+// upstreams whose registration it knows itself.
+type reachCall struct {
+	ID      string `json:"id"`
+	Process string `json:"process"`
+}
+
+// WitnessesOptions are the dependencies of Witnesses.
+type WitnessesOptions struct {
+	Members Members
+	Caller  wire.Caller
+	// Upstreams returns the registered upstreams of all services.
+	Upstreams func() []Upstream
+	// Check returns an error if a process does not answer, of the kind Stale if another
+	// process answers at its address.
+	Check   func(ctx context.Context, u Upstream) error
+	Notices *Notices
+	Group   *group.Group
+	Random  *rand.Rand
+	Log     logrus.FieldLogger
+}
+
+// Witnesses finds out with the help of other nodes whether processes of upstreams have
+// ended. What one node cannot reach may be reached by others.
+type Witnesses struct {
+	options   WitnessesOptions
+	inquiries *sharedResults[bool]
+	checks    *sharedResults[Reach]
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+}
+
+// NewWitnesses returns the witnesses of a node.
+func NewWitnesses(o WitnessesOptions) *Witnesses {
+	return &Witnesses{
+		options: o, random: o.Random,
+		inquiries: newSharedResults[bool](o.Group, o.Log, reachKeepTime), checks: newSharedResults[Reach](o.Group, o.Log, reachKeepTime),
+	}
+}
+
+// Register adds the handler of the calls that this node answers as a witness.
+func (w *Witnesses) Register(m *wire.Mux) {
+	m.Handle(MethodReach, wire.Typed(func(ctx context.Context, _ string, call reachCall) (Reach, error) {
+		return w.testify(ctx, call), nil
+	}))
+}
+
+// Ended reports whether the process of an upstream has ended, after this node has lost a
+// connection to it: this node does not reach it, at least one node that reaches other
+// upstreams does not either, and none does. If no node can tell, it has not ended, unless
+// this node knows no other upstream by which it could; the registration then shows later
+// whether it was right (see crash.Registry).
+func (w *Witnesses) Ended(ctx context.Context, u Upstream) bool {
+	ended, ok := w.inquiries.get(ctx, u.Process(), func(ctx context.Context) bool { return w.inquire(ctx, u) })
+	return ok && ended
+}
+
+// evidence is what nodes have found out about a process.
+type evidence struct {
+	// witnesses is the number of nodes that answered, linked that of those among them that
+	// can tell, and reached that of those which reach the process.
+	witnesses, linked, reached int
+}
+
+func (e *evidence) add(r Reach) {
+	e.witnesses++
+	switch r {
+	case Reached:
+		e.reached++
+		e.linked++
+	case NotReached:
+		e.linked++
+	case NotLinked:
+	}
+}
+
+// inquire checks a process and, if it does not answer, asks peers.
+func (w *Witnesses) inquire(ctx context.Context, u Upstream) bool {
+	checkErr := w.check(ctx, u)
+	if checkErr == nil {
+		return false
+	}
+	peers := w.peers()
+	answers := make(chan Reach, 1+len(peers))
+	g := group.New(ctx)
+	g.Go("controls", guard.Task(w.options.Log, "controls", func(ctx context.Context) error {
+		answers <- reachOf(checkErr, w.isLinked(ctx, u))
+		return nil
+	}))
+	for _, m := range peers {
+		g.Go("witness", guard.Task(w.options.Log, "witness", func(ctx context.Context) error {
+			if r, ok := w.ask(ctx, m, u); ok {
+				answers <- r
+			}
+			return nil
+		}))
+	}
+	e := collect(ctx, answers)
+	g.Stop()
+	// Tasks return no error.
+	_ = g.Wait()
+	if ctx.Err() != nil {
+		return false
+	}
+	ended := e.reached == 0 && (e.linked > 0 || len(w.others(u)) == 0)
+	event, text := "end_believed", "an upstream does not answer this host, and no other host reaches it"
+	if !ended {
+		event, text = "end_doubted", "an upstream does not answer this host, but another host reaches it or none can tell; it counts as running"
+	}
+	w.options.Log.WithError(checkErr).WithFields(logrus.Fields{
+		"event": event, "upstream": u.ID, "engine": u.Process(), "asked": len(peers),
+		"witnesses": e.witnesses, "linked": e.linked, "reached": e.reached,
+	}).Warn(text)
+	return ended
+}
+
+// collect returns the evidence of all answers that arrive in time, or of those up to the
+// first that settles the matter. The number of answers is the capacity of the channel.
+func collect(ctx context.Context, answers <-chan Reach) evidence {
+	var e evidence
+	timer := time.NewTimer(witnessTimeout)
+	defer timer.Stop()
+	for e.reached == 0 && e.witnesses < cap(answers) {
+		select {
+		case r := <-answers:
+			e.add(r)
+			if r == NotReached && e.linked == enoughWitnesses {
+				timer.Reset(lateWitnessTime)
+			}
+		case <-timer.C:
+			return e
+		case <-ctx.Done():
+			return e
+		}
+	}
+	return e
+}
+
+// testify answers the question of another node.
+func (w *Witnesses) testify(ctx context.Context, call reachCall) Reach {
+	upstreams := w.options.Upstreams()
+	i := slices.IndexFunc(upstreams, func(u Upstream) bool { return u.ID == call.ID && u.Process() == call.Process })
+	if i < 0 || w.options.Notices.PauseLeft(call.Process) > 0 {
+		return NotLinked
+	}
+	reach, ok := w.checks.get(ctx, call.Process, func(ctx context.Context) Reach { return w.reach(ctx, upstreams[i]) })
+	if !ok {
+		return NotLinked
+	}
+	return reach
+}
+
+// reach checks a process, and at the same time whether this node reaches other upstreams.
+func (w *Witnesses) reach(ctx context.Context, u Upstream) Reach {
+	linked := make(chan bool, 1)
+	g := group.New(ctx)
+	g.Go("controls", guard.Task(w.options.Log, "controls", func(ctx context.Context) error {
+		defer close(linked)
+		linked <- w.isLinked(ctx, u)
+		return nil
+	}))
+	err := w.check(ctx, u)
+	r := Reached
+	if err != nil {
+		r = reachOf(err, <-linked)
+	}
+	g.Stop()
+	// Tasks return no error.
+	_ = g.Wait()
+	return r
+}
+
+// reachOf returns what a failed check shows on a node that is linked to other upstreams, or
+// is not. The answer of another process shows both.
+func reachOf(err error, linked bool) Reach {
+	if linked || fault.Is(err, fault.Stale) {
+		return NotReached
+	}
+	return NotLinked
+}
+
+// isLinked reports whether any other upstream answers this node now.
+func (w *Witnesses) isLinked(ctx context.Context, u Upstream) bool {
+	controls := slices.DeleteFunc(w.others(u), func(other Upstream) bool { return w.options.Notices.PauseLeft(other.Process()) > 0 })
+	w.shuffle(len(controls), func(i, j int) { controls[i], controls[j] = controls[j], controls[i] })
+	controls = controls[:min(len(controls), maxControls)]
+	answered := make(chan struct{}, len(controls))
+	g := group.New(ctx)
+	for _, control := range controls {
+		g.Go("control", guard.Task(w.options.Log, "control", func(ctx context.Context) error {
+			if err := w.check(ctx, control); err == nil || fault.Is(err, fault.Stale) {
+				answered <- struct{}{}
+				// One answer is enough.
+				g.Stop()
+			}
+			return nil
+		}))
+	}
+	// Tasks return no error.
+	_ = g.Wait()
+	return len(answered) > 0
+}
+
+func (w *Witnesses) check(ctx context.Context, u Upstream) error {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	return w.options.Check(ctx, u)
+}
+
+// ask asks a peer, and returns false if it does not answer.
+func (w *Witnesses) ask(ctx context.Context, m member.Member, u Upstream) (Reach, bool) {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	var r Reach
+	err := w.options.Caller.Call(ctx, m.PeerAddress, MethodReach, reachCall{ID: u.ID, Process: u.Process()}, &r)
+	if err != nil {
+		w.options.Log.WithError(err).WithFields(logrus.Fields{"event": "witness_silent", "member": m.Name, "upstream": u.ID}).
+			Debug("another host did not say whether it reaches an upstream")
+	}
+	return r, err == nil
+}
+
+// others returns the registered upstreams with another address.
+func (w *Witnesses) others(u Upstream) []Upstream {
+	return slices.DeleteFunc(slices.Clone(w.options.Upstreams()), func(other Upstream) bool {
+		return other.ID == u.ID || other.Address == u.Address
+	})
+}
+
+// peers returns the peers to ask, those of other failure domains first: a domain may lose
+// its links as a whole.
+func (w *Witnesses) peers() []member.Member {
+	self := w.options.Members.Self()
+	peers := slices.DeleteFunc(slices.Clone(w.options.Members.Members()), func(m member.Member) bool {
+		return m.Name == self.Name || m.State != member.Alive
+	})
+	w.shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	slices.SortStableFunc(peers, func(a, b member.Member) int {
+		aHere, bHere := a.FailureDomain == self.FailureDomain, b.FailureDomain == self.FailureDomain
+		switch {
+		case aHere == bHere:
+			return 0
+		case bHere:
+			return -1
+		}
+		return 1
+	})
+	return peers[:min(len(peers), maxWitnesses)]
+}
+
+func (w *Witnesses) shuffle(n int, swap func(i, j int)) {
+	w.randomMu.Lock()
+	defer w.randomMu.Unlock()
+	w.random.Shuffle(n, swap)
+}
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -132,6 +132,11 @@
 	return nil
 }
 
+// Ended implements Witnesses.
+func (r *fakeReserver) Ended(ctx context.Context, u place.Upstream) bool {
+	return r.Alive(ctx, u) != nil
+}
+
 // gateway is a Server on a real socket with stand-ins for its upstreams.
 type gateway struct {
 	t      testing.TB
@@ -174,7 +179,7 @@
 	log.SetOutput(g)
 	server := New(Options{
 		Drain: drain.New(log), Quota: newQuota(log),
-		Codec: headerCodec{}, Placer: g.placer, Reserver: g.engines, Group: g.group, Table: table,
+		Codec: headerCodec{}, Placer: g.placer, Reserver: g.engines, Witnesses: g.engines, Group: g.group, Table: table,
 		ConfigAge: func() time.Duration { return 0 }, CopyVersion: func() (uint64, uint64) { return 0, 0 }, UpstreamID: func(string) string { return "" },
 		Budget: retry.New(1, 100, time.Minute, func() int { return 1 }),
 		Dial:   dialer.TCP, Answers: quota.UpstreamAnswers(1 << 30), Random: rand.New(rand.NewPCG(1, 1)), Log: log,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -167,15 +167,24 @@
 	Reserve(ctx context.Context, u place.Helper, tokens int, hold time.Duration) error
 	// Release ends a reservation.
 	Release(ctx context.Context, u place.Helper) error
-	// Alive returns an error when an upstream does not answer at all.
+	// Alive returns an error when a process of an upstream does not answer at all, of the
+	// kind Stale when another process answers at its address.
 	Alive(ctx context.Context, u place.Upstream) error
 }
 
+// Witnesses find out whether upstreams ended.
+type Witnesses interface {
+	// Ended reports whether the process of an upstream to which this host lost a connection
+	// has ended, as far as this host and others can tell.
+	Ended(ctx context.Context, u place.Upstream) bool
+}
+
 // Options are the dependencies of a Server.
 type Options struct {
-	Codec    Codec
-	Placer   Placer
-	Reserver Reserver
+	Codec     Codec
+	Placer    Placer
+	Reserver  Reserver
+	Witnesses Witnesses
 	// Drain holds when the process stops answering.
 	Drain *drain.Drain
 	// Quota bounds what callers make the process hold.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -17,10 +17,6 @@
 	"github.com/verbenapier/verbenapier/pkg/fault"
 )
 
-// endCheckTimeout bounds the check of whether an upstream ended. It is several times
-// the latency between failure domains.
-const endCheckTimeout = 300 * time.Millisecond
-
 // send sends the request to an upstream and returns the response. An error of
 // kind Unreachable means that nothing was sent; after any other error the
 // upstream may have run the request.
@@ -72,14 +68,12 @@
 
 // upstreamEnded reports whether an attempt failed because the process of the upstream
 // ended: the connection ended, not by a time limit or the caller, and the upstream
-// does not answer other calls. An upstream that lost only this connection does.
+// answers neither this host nor others. An upstream that lost only this connection does.
 func (c *call) upstreamEnded(ctx context.Context, u place.Upstream, err error) bool {
 	if !slices.ContainsFunc([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}, func(end error) bool { return errors.Is(err, end) }) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
-	defer cancel()
-	return c.server.options.Reserver.Alive(ctx, u) != nil && context.Cause(c.r.Context()) == nil
+	return c.server.options.Witnesses.Ended(ctx, u) && context.Cause(c.r.Context()) == nil
 }
 
 // readVerdict reads the verdict from the response of the upstream of a grant.
