crash: hosts do not contend for the key of a withdrawn quarantine

Cause: all hosts find out at the same time that an engine has not ended, and each removed the keys of its quarantines from the store. A host that found out later, as it had started meanwhile, published them again at once, the others removed them again, and so on until it knew better.

Change: each host waits its own part of two seconds before it removes a key that is still there.

--- a/internal/crash/publish.go
+++ b/internal/crash/publish.go
@@ -21,6 +21,9 @@
 	// takeoverDelay is how long the host that decided a quarantine has to publish it
 	// before the others do.
 	takeoverDelay = 2 * time.Second
+	// republishDelay is how long a quarantine that was removed from the platform before its
+	// end stays away. By then each host has verified the end on which it was decided.
+	republishDelay = lapseTime + takeoverDelay
 	// exchangeInterval is how often a host without a store asks a peer for its
 	// quarantines.
 	exchangeInterval = 2 * time.Second
@@ -41,6 +44,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	for key := range known {
+		// A host that knows it to be wrong may have removed it.
+		if !published[key] {
+			r.dueAt[key] = time.Now().Add(republishDelay)
+		}
+	}
 	r.published = published
 }
 
--- a/internal/crash/share_test.go
+++ b/internal/crash/share_test.go
@@ -26,6 +26,8 @@
 	// registered and current are those of all hosts, or nil.
 	registered func(process string) bool
 	current    func() bool
+	// store is that of all hosts, or nil.
+	store Store
 }
 
 func (hs *hosts) mux(name string) *wire.Mux {
@@ -75,7 +77,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	mux := wire.NewMux()
-	r := NewRegistry(Options{Members: host{hs, name}, Caller: host{hs, name}, Registered: hs.registered, Current: hs.current, Group: g, Log: log})
+	r := NewRegistry(Options{Members: host{hs, name}, Caller: host{hs, name}, Registered: hs.registered, Current: hs.current, Store: hs.store, Group: g, Log: log})
 	r.Register(mux)
 	hs.mu.Lock()
 	hs.muxes[name] = mux
--- a/internal/crash/tracker.go
+++ b/internal/crash/tracker.go
@@ -108,6 +108,9 @@
 type refutation struct {
 	engine string
 	at     time.Time
+	// withdrawAt is when this host removes the quarantine from the platform, if it is still
+	// there.
+	withdrawAt time.Time
 }
 
 // NewTracker returns a tracker that suspects nothing.
@@ -302,7 +305,8 @@
 			continue
 		}
 		delete(t.quarantines, key)
-		t.refuted[key] = refutation{q.Engine, time.Now()}
+		now := time.Now()
+		t.refuted[key] = refutation{engine: q.Engine, at: now, withdrawAt: now}
 		if q.Parts = left; len(left) > 0 {
 			t.quarantines[q.Key()] = q
 		}
@@ -331,7 +335,8 @@
 	}
 }
 
-// Quarantines returns the quarantines in force, and the keys of refuted ones.
+// Quarantines returns the quarantines in force, and the keys of refuted ones that this host
+// removes from the platform now.
 func (t *Tracker) Quarantines() (active []Quarantine, refuted []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -341,8 +346,10 @@
 			active = append(active, q)
 		}
 	}
-	for key := range t.refuted {
-		refuted = append(refuted, key)
+	for key, r := range t.refuted {
+		if !now.Before(r.withdrawAt) {
+			refuted = append(refuted, key)
+		}
 	}
 	return active, refuted
 }
--- a/internal/crash/verify.go
+++ b/internal/crash/verify.go
@@ -51,8 +51,9 @@
 }
 
 // Withdraw removes all evidence that rests on the end of a process which has not ended, and
-// refutes the quarantines that were decided on it. It returns those in force.
-func (t *Tracker) Withdraw(process string) []Quarantine {
+// refutes the quarantines that were decided on it. They are to be removed from the platform
+// after the delay. It returns those in force.
+func (t *Tracker) Withdraw(process string, delay time.Duration) []Quarantine {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
@@ -66,7 +67,7 @@
 			refuted = append(refuted, q)
 		}
 		delete(t.quarantines, key)
-		t.refuted[key] = refutation{process, now}
+		t.refuted[key] = refutation{engine: process, at: now, withdrawAt: now.Add(delay)}
 	}
 	for _, p := range t.records.Keys() {
 		if r, ok := t.records.Peek(p); ok && slices.Contains(r.engines, process) {
@@ -126,7 +127,9 @@
 			r.Verified(process)
 			continue
 		}
-		refuted := r.Withdraw(process)
+		// All hosts find out at the same time, and one call removes a key.
+		delay := time.Duration(uint64(NewPart(nil, r.options.Members.Self().Name, process)) % uint64(takeoverDelay))
+		refuted := r.Withdraw(process, delay)
 		var keys []string
 		for _, q := range refuted {
 			keys = append(keys, q.Key())
@@ -134,6 +137,5 @@
 		r.options.Metrics.Counter("ends_withdrawn_total").Inc(1)
 		r.options.Log.WithFields(logrus.Fields{"event": "end_withdrawn", "engine": process, "quarantine_keys": keys}).
 			Warn("an engine that was said to have ended is still registered; what rests on its end is withdrawn")
-		r.wakeRun()
 	}
 }
--- a/internal/crash/verify_test.go
+++ b/internal/crash/verify_test.go
@@ -1,6 +1,10 @@
 package crash
 
 import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,3 +64,76 @@
 		})
 	}
 }
+
+// platformStore holds the quarantines on the platform.
+type platformStore struct {
+	mu          sync.Mutex
+	quarantines map[string]Quarantine
+	withdrawals int
+}
+
+func (s *platformStore) Publish(_ context.Context, q Quarantine) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quarantines[q.Key()] = q
+	return nil
+}
+
+func (s *platformStore) Withdraw(_ context.Context, key string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.quarantines, key)
+	s.withdrawals++
+	return nil
+}
+
+func (s *platformStore) list() []Quarantine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.quarantines))
+}
+
+// Guards against a quarantine that stays on the platform, or on a host that adopted it from
+// there, after it turned out to be wrong, and against a call by each host to remove it.
+func TestWithdrawnFromThePlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &platformStore{quarantines: map[string]Quarantine{}}
+		g, hs := group.New(t.Context()), &hosts{
+			muxes: map[string]*wire.Mux{}, store: store,
+			registered: func(string) bool { return true }, current: func() bool { return true },
+		}
+		start := func(name string) *Registry {
+			r := hs.start(g, name)
+			g.Go("sync", func(ctx context.Context) error {
+				for group.Sleep(ctx, 50*time.Millisecond) {
+					r.Sync(store.list())
+				}
+				return nil
+			})
+			return r
+		}
+		registries := map[string]*Registry{}
+		for _, name := range []string{"a", "b", "c", "d", "e"} {
+			registries[name] = start(name)
+		}
+		time.Sleep(lapseTime)
+		sound := Content{Whole: 1, Shared: []Part{2}}
+		registries["a"].Report(Report{Engine: "e1@1", Content: sound, Suspects: []Part{1, 2}})
+		time.Sleep(lapseTime / 2)
+		require.Len(t, store.list(), 1)
+		registries["started later"] = start("started later")
+		time.Sleep(time.Second)
+		require.Positive(t, registries["started later"].Check(sound).RefusedFor)
+
+		time.Sleep(lapseTime/2 + takeoverDelay)
+		require.Empty(t, store.list())
+		require.LessOrEqual(t, store.withdrawals, 2)
+		time.Sleep(lapseTime)
+		for name, r := range registries {
+			require.Zero(t, r.Check(sound).RefusedFor, name)
+		}
+		require.Empty(t, store.list())
+		g.Stop()
+		require.NoError(t, g.Wait())
+	})
+}
