place: checks of an inquiry are not broken off

Cause: an inquiry broke off the checks of other upstreams once one of them had answered. The answer of another may have been under way and say that the upstream leaves: the host then used it on.

Change: checks and calls of peers run in the group of the process and end by themselves, within their time limits, also when nobody waits for them.

--- a/internal/place/witness.go
+++ b/internal/place/witness.go
@@ -143,21 +143,11 @@
 	}
 	peers := w.peers()
 	answers := make(chan Reach, 1+len(peers))
-	g := group.New(ctx)
-	g.Go("controls", guard.Task(w.options.Log, "controls", func(ctx context.Context) error {
-		answers <- reachOf(checkErr, w.isLinked(ctx, u))
-		return nil
-	}))
+	start(w, answers, func(ctx context.Context) Reach { return reachOf(checkErr, w.isLinked(ctx, u)) })
 	for _, m := range peers {
-		g.Go("witness", guard.Task(w.options.Log, "witness", func(ctx context.Context) error {
-			answers <- w.ask(ctx, m, u)
-			return nil
-		}))
+		start(w, answers, func(ctx context.Context) Reach { return w.ask(ctx, m, u) })
 	}
 	e := collect(ctx, answers)
-	g.Stop()
-	// Tasks return no error.
-	_ = g.Wait()
 	if ctx.Err() != nil {
 		return false
 	}
@@ -214,21 +204,11 @@
 // reach checks a process, and at the same time whether this node reaches other upstreams.
 func (w *Witnesses) reach(ctx context.Context, u Upstream) Reach {
 	linked := make(chan bool, 1)
-	g := group.New(ctx)
-	g.Go("controls", guard.Task(w.options.Log, "controls", func(ctx context.Context) error {
-		defer close(linked)
-		linked <- w.isLinked(ctx, u)
-		return nil
-	}))
-	err := w.check(ctx, u)
-	r := Reached
-	if err != nil {
-		r = reachOf(err, <-linked)
+	start(w, linked, func(ctx context.Context) bool { return w.isLinked(ctx, u) })
+	if err := w.check(ctx, u); err != nil {
+		return reachOf(err, <-linked)
 	}
-	g.Stop()
-	// Tasks return no error.
-	_ = g.Wait()
-	return r
+	return Reached
 }
 
 // reachOf returns what a failed check shows on a node that is linked to other upstreams, or
@@ -245,21 +225,36 @@
 	controls := slices.DeleteFunc(w.others(u), func(other Upstream) bool { return w.options.Notices.PauseLeft(other.Process()) > 0 })
 	w.shuffle(len(controls), func(i, j int) { controls[i], controls[j] = controls[j], controls[i] })
 	controls = controls[:min(len(controls), maxControls)]
-	answered := make(chan struct{}, len(controls))
-	g := group.New(ctx)
+	answers := make(chan bool, len(controls))
 	for _, control := range controls {
-		g.Go("control", guard.Task(w.options.Log, "control", func(ctx context.Context) error {
-			if err := w.check(ctx, control); err == nil || fault.Is(err, fault.Stale) {
-				answered <- struct{}{}
-				// One answer is enough.
-				g.Stop()
+		start(w, answers, func(ctx context.Context) bool {
+			err := w.check(ctx, control)
+			return err == nil || fault.Is(err, fault.Stale)
+		})
+	}
+	for range controls {
+		select {
+		case answered := <-answers:
+			if answered {
+				return true
 			}
-			return nil
-		}))
+		case <-ctx.Done():
+			return false
+		}
 	}
-	// Tasks return no error.
-	_ = g.Wait()
-	return len(answered) > 0
+	return false
+}
+
+// start finds a result in the background and sends it, or the zero value after a panic. What
+// has begun ends by itself, also if nobody waits for it: the answer of an upstream may say
+// what it wants of this node.
+func start[V any](w *Witnesses, results chan<- V, find func(ctx context.Context) V) {
+	w.options.Group.Go("witness", guard.Task(w.options.Log, "witness", func(ctx context.Context) error {
+		var v V
+		defer func() { results <- v }()
+		v = find(ctx)
+		return nil
+	}))
 }
 
 func (w *Witnesses) check(ctx context.Context, u Upstream) error {
