detour: connections to upstreams through peers

A host that is cut off from all upstreams, while callers, the store and the other hosts reach it, fails what it is asked: dials time out four times in a row, and connections that are accepted and then reset lose calls that may run once.

The peer port takes HTTP CONNECT requests beside messages: no message begins with their first two bytes.

The check of an answer without a length takes a refused connection for the end of the upstream also when the time passed in an attempt through a peer.

--- a/internal/answer/end.go
+++ b/internal/answer/end.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/verbenapier/verbenapier/internal/header"
@@ -34,8 +35,9 @@
 		_ = conn.Close()
 		return nil
 	}
-	if ctx.Err() != nil {
-		// An upstream that is only slow to accept a connection has not ended.
+	if ctx.Err() != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+		// An upstream that is only slow to accept a connection has not ended. One that
+		// refused a connection has, even if the time passed in an attempt through a peer.
 		return nil
 	}
 	return fault.Wrap(fault.UpstreamLost, errors.Join(io.ErrUnexpectedEOF, err), "the upstream ended after an answer without a length")
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -42,6 +42,9 @@
 // buffer.
 type boundedKey struct{}
 
+// Bounded returns a context whose dials open connections with bounded receive buffers.
+func Bounded(ctx context.Context) context.Context { return context.WithValue(ctx, boundedKey{}, true) }
+
 // TCP opens a TCP connection.
 func TCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{KeepAliveConfig: KeepAlive}
@@ -131,7 +134,7 @@
 	defer cancel()
 	var conn net.Conn
 	// net/http dials in a goroutine of its own.
-	err := group.Call(context.WithValue(ctx, boundedKey{}, true), func(ctx context.Context) (err error) {
+	err := group.Call(Bounded(ctx), func(ctx context.Context) (err error) {
 		conn, err = dial(ctx, address)
 		return err
 	})
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -31,12 +32,20 @@
 	maxCallsPerConn = 10_000
 )
 
+// TunnelServer serves the connections of peers that carry no messages but begin with an HTTP
+// CONNECT request.
+type TunnelServer interface {
+	// ServeTunnel serves a connection, from its first byte on, and closes it.
+	ServeTunnel(ctx context.Context, conn net.Conn)
+}
+
 // Server answers the calls of peers with the handlers of a mux.
 type Server struct {
-	mux   *Mux
-	tls   *tls.Config
-	group *group.Group
-	log   logrus.FieldLogger
+	mux     *Mux
+	tls     *tls.Config
+	tunnels TunnelServer
+	group   *group.Group
+	log     logrus.FieldLogger
 
 	bytesRead    atomic.Int64
 	bytesWritten atomic.Int64
@@ -52,7 +61,11 @@
 	return &Server{mux: mux, tls: tlsConfig, group: g, log: log, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
-// Traffic returns the bytes read and written over the life of the server.
+// SetTunnels has tunnels served. Without it, a connection that begins with a request for a
+// tunnel fails as one with a malformed message. Call SetTunnels before Serve.
+func (s *Server) SetTunnels(t TunnelServer) { s.tunnels = t }
+
+// Traffic returns the bytes of messages read and written over the life of the server.
 func (s *Server) Traffic() (read, written int64) {
 	return s.bytesRead.Load(), s.bytesWritten.Load()
 }
@@ -91,6 +104,19 @@
 		s.log.WithError(err).WithField("event", "peer_refused").Warn("refused a peer connection")
 		return
 	}
+	if s.tunnels != nil {
+		var tunnel bool
+		if conn, tunnel = s.detectTunnel(ctx, conn); conn == nil {
+			return
+		}
+		if tunnel {
+			boundBuffers(raw)
+			stop := context.AfterFunc(ctx, func() { _ = raw.Close() })
+			defer stop()
+			s.tunnels.ServeTunnel(ctx, conn)
+			return
+		}
+	}
 	session := &session{server: s, from: from, cancels: map[string]context.CancelFunc{}}
 	stream := jsonrpc2.NewBufferedStream(
 		newTrackedConn(conn, &s.bytesRead, &s.bytesWritten), boundedCodec{})
@@ -106,6 +132,18 @@
 	s.mu.Unlock()
 }
 
+// detectTunnel reads the first bytes of a connection, and reports whether it is to be a
+// tunnel. It returns a connection with all bytes, or nil if there are none.
+func (s *Server) detectTunnel(ctx context.Context, conn net.Conn) (net.Conn, bool) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	first := make([]byte, len(tunnelStart))
+	if _, err := io.ReadFull(conn, first); err != nil {
+		return nil, false
+	}
+	return &startedConn{Conn: conn, start: first}, string(first) == tunnelStart
+}
+
 // authenticate completes the TLS handshake and returns the peer's name: the
 // common name of its certificate, or its address without TLS.
 func (s *Server) authenticate(ctx context.Context, conn net.Conn) (string, net.Conn, error) {
