gate: requests reach upstreams through peers if a host's links fail

What callers saw: hosts that were cut from all upstreams answered 503 after 1.6 s and 504 after 1.2 s, and reported sound engines as failed, which barred them for all hosts.

Cause: a host took what it could not reach itself for what could not be reached.

Change: requests, reservations, load queries and checks of upstreams connect through package detour; the store and peers do not. A failure to reach an upstream, its loss or its silence has the outcome link_failed if this host is cut or a peer reaches the upstream, and bars no engine. If new connections were reset, it waits up to 0.3 s for what peers say. Tunnels take an eighth of the descriptors above 200, and a host that leaves early waits for them.

--- a/internal/gate/adapter.go
+++ b/internal/gate/adapter.go
@@ -13,6 +13,7 @@
 
 	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/internal/crash"
+	"github.com/verbenapier/verbenapier/internal/detour"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/feed"
 	"github.com/verbenapier/verbenapier/internal/place"
@@ -24,7 +25,8 @@
 type AdapterOptions struct {
 	// Store is the address of the platform's metadata store.
 	Store string
-	Dial  dialer.Func
+	// Dial connects to the store, and DialUpstream to upstreams.
+	Dial, DialUpstream dialer.Func
 	// UpstreamAnswers and StoreAnswers bound what answers of upstreams and of the store
 	// hold while they are read.
 	UpstreamAnswers, StoreAnswers answer.Memory
@@ -41,6 +43,8 @@
 	Reserver relay.Reserver
 	// Load asks an engine for its current load.
 	Load place.Inspector
+	// Query finds out whether upstreams answer at all.
+	Query detour.Query
 	// Quarantines keeps quarantines on the platform.
 	Quarantines crash.Store
 	// DecodeQuarantine decodes a quarantine; ok is false if the key is not that of a
--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/verbenapier/verbenapier/internal/crash"
+	"github.com/verbenapier/verbenapier/internal/detour"
 	"github.com/verbenapier/verbenapier/internal/drain"
 	"github.com/verbenapier/verbenapier/internal/feed"
 	"github.com/verbenapier/verbenapier/internal/guard"
@@ -92,6 +93,7 @@
 	relay      *relay.Server
 	drain      *drain.Drain
 	quota      *quota.Quota
+	links      links
 
 	meter        *meter.Meter
 	closeMetrics io.Closer
@@ -119,19 +121,21 @@
 	}
 	var metrics tally.Scope
 	g.meter, metrics, g.closeMetrics = meter.New("verbenapier")
+	files := quota.Files(s.MaxOpenFiles)
 	g.quota = quota.New(quota.Options{
-		Memory: int64(s.MemoryLimit) << 20, Files: quota.Files(s.MaxOpenFiles), Log: g.log, Metrics: metrics.SubScope("clients"),
+		Memory: int64(s.MemoryLimit) << 20, Files: files - detour.DescriptorsPerTunnel*maxTunnels(files), Log: g.log, Metrics: metrics.SubScope("clients"),
 	})
 	answers := quota.UpstreamAnswers(int64(s.MemoryLimit) << 20)
 	g.notices = place.NewNotices(newRandom(), g.log)
 	g.adapter = o.Adapter(AdapterOptions{
-		Store: s.Store, Dial: o.Network.Dial, UpstreamAnswers: answers, StoreAnswers: quota.PlatformAnswers(int64(s.MemoryLimit) << 20), Notices: g.notices, Metrics: metrics.SubScope("store"), Log: g.log,
+		Store: s.Store, Dial: o.Network.Dial, DialUpstream: g.dialUpstream, UpstreamAnswers: answers, StoreAnswers: quota.PlatformAnswers(int64(s.MemoryLimit) << 20), Notices: g.notices, Metrics: metrics.SubScope("store"), Log: g.log,
 	})
 	g.peerClient = wire.NewClient(g.group, o.Network.Dial)
 	g.peerClient.SetName(s.Name)
 	g.peerClient.SetLog(g.log)
 	g.peerServer = wire.NewServer(g.group, g.mux, nil, g.log)
 	g.buildShared(metrics)
+	g.buildLinks(metrics.SubScope("links"))
 	g.places = place.NewClient(place.ClientOptions{
 		Members: g.members, Caller: g.peerClient, Pool: g.state.Pool, Cells: g.state.Cells, Upstreams: g.state.Upstreams,
 		UpstreamGone: g.state.UpstreamGone, Notices: g.notices, Crashes: g.crashes,
@@ -147,7 +151,7 @@
 	g.relay = relay.New(relay.Options{
 		Codec: g.adapter.Codec, Placer: g.places, Reserver: g.adapter.Reserver, Witnesses: witnesses, Drain: g.drain, Quota: g.quota, Group: g.group, Table: g.state.Table, ConfigAge: g.feed.Age, CopyVersion: g.copyVersion, UpstreamID: g.state.UpstreamID,
 		Budget: retry.New(s.RetryRatio, s.RetryAllowance, s.RetryWindow, func() int { return len(g.members.Members()) }),
-		Dial:   o.Network.Dial, Answers: answers, Random: newRandom(), Log: g.log, Metrics: metrics.SubScope("relay"),
+		Dial:   g.dialUpstream, Linked: g.links.reach.Linked, Answers: answers, Random: newRandom(), Log: g.log, Metrics: metrics.SubScope("relay"),
 	})
 	return g
 }
@@ -224,6 +228,7 @@
 	g.group.Go("meeting", guard.Loop(g.log, "meeting", g.meet))
 	g.group.Go("newest configuration", guard.Loop(g.log, "newest configuration", g.learnNewest))
 	g.group.Go("state", guard.Loop(g.log, "state", g.state.Run))
+	g.group.Go("links", guard.Loop(g.log, "links", g.links.dialer.Run))
 	g.group.Go("places", guard.Loop(g.log, "places", g.places.Run))
 	g.group.Go("quarantines", guard.Loop(g.log, "quarantines", g.crashes.Run))
 	g.log.WithFields(logrus.Fields{"event": "started", "listen": g.settings.Listen, "peers": g.settings.PeerListen}).
--- a/internal/gate/leave.go
+++ b/internal/gate/leave.go
@@ -28,7 +28,7 @@
 	g.log.WithFields(logrus.Fields{"event": "leaving", "requests": g.relay.InFlight()}).Info("this host is leaving")
 	minLeaveTime := time.Duration(addressLifetimes * float64(g.settings.AddressLifetime))
 	for time.Now().Before(stopAt) {
-		if time.Since(startedAt) > minLeaveTime && !callers.Busy() && g.relay.SinceLastRequest() > quietPeriod {
+		if time.Since(startedAt) > minLeaveTime && !callers.Busy() && g.links.tunnels.InUse() == 0 && g.relay.SinceLastRequest() > quietPeriod {
 			break
 		}
 		time.Sleep(leavePollInterval)
--- a/internal/params/gateway.go
+++ b/internal/params/gateway.go
@@ -71,7 +71,7 @@
 		{Key: "seeds", Default: []string{}, Rule: strict.Rule{Allowed: "a list of addresses of other gateways"}, Meaning: "peer addresses of gateways to join"},
 		{Key: "store", Required: true, Rule: address(), Meaning: "address of the platform's metadata store"},
 		{Key: "memory_limit_mib", Default: 256, Rule: memoryLimit(), Meaning: "memory of the process, of which clients may hold half of what lies above 32 MiB, answers of upstreams a sixteenth and those of the platform a quarter; the collector works harder from 60% of it on"},
-		{Key: "max_open_files", Default: 4096, Rule: openFiles(), Meaning: "descriptors of the process, at most those that the system allows; a third of those above 200 are for clients' connections"},
+		{Key: "max_open_files", Default: 4096, Rule: openFiles(), Meaning: "descriptors of the process, at most those that the system allows; an eighth of those above 200 are for tunnels of peers, a third of the rest for clients' connections"},
 		{Key: "processor_share", Default: 1.0, Rule: strict.Above(0, 1024), Meaning: "processor time of the process, in cores; hosts with more of it schedule engines and watch the store"},
 		{Key: "grace_period", Default: 8 * time.Second, Rule: strict.DurationBetween(time.Second, time.Hour), Meaning: "time from the signal to stop until the process is killed"},
 		{Key: "address_lifetime", Default: time.Second, Rule: strict.DurationBetween(100*time.Millisecond, time.Minute), Meaning: "how long callers may keep an answer with addresses"},
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -136,6 +136,9 @@
 	Rejected Outcome = "rejected"
 	// EngineFailed requests failed because their engine did.
 	EngineFailed Outcome = "broken"
+	// LinkFailed requests failed because their host did not reach the engine. That says
+	// nothing about the engine.
+	LinkFailed Outcome = "link_failed"
 )
 
 // RunningRequest is the entry of a granted request in a node's report.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -33,10 +33,10 @@
 	// connReserve is the share of the quota that only connections may take, so that
 	// large bodies keep no small request out.
 	connReserve = 0.25
-	// reservedFiles is the number of descriptors that are kept for files. A client
-	// takes up to socketsPerClient of the others: for its connection, for that to an
-	// upstream, and for a call about the upstream.
-	reservedFiles    = 200
+	// ReservedFiles is the number of descriptors that are kept for files.
+	ReservedFiles = 200
+	// socketsPerClient is the number of the other descriptors that a client takes: for its
+	// connection, for that to an upstream, and for a call about the upstream.
 	socketsPerClient = 3
 	// minConns is the number of connections that are always allowed.
 	minConns = 16
@@ -80,7 +80,7 @@
 func New(o Options) *Quota {
 	return &Quota{
 		memory:   max(minHeld, int64(heldShare*float64(o.Memory-processMemory))),
-		maxConns: max(minConns, (o.Files-reservedFiles)/socketsPerClient),
+		maxConns: max(minConns, (o.Files-ReservedFiles)/socketsPerClient),
 		log:      o.Log, conns: map[*conn]struct{}{}, released: make(chan struct{}),
 		refusedConns:  o.Metrics.Counter("connections_refused"),
 		refusedMemory: o.Metrics.Counter("memory_refused"),
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -20,7 +20,7 @@
 func newQuota(conns int) *Quota {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return New(Options{Memory: processMemory, Files: reservedFiles + socketsPerClient*conns, Log: log, Metrics: tally.NoopScope})
+	return New(Options{Memory: processMemory, Files: ReservedFiles + socketsPerClient*conns, Log: log, Metrics: tally.NoopScope})
 }
 
 // add returns a new connection in a phase and its other end, or nil if it was refused.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -45,6 +45,9 @@
 	helpers, memory, err := c.reserve(ctx, number, g, func() { cancel(errUnresponsive) })
 	if err != nil {
 		a.ended.Outcome = place.Rejected
+		if c.linksFailed(ctx, g.Upstream, g.Helpers...) {
+			a.ended.Outcome = place.LinkFailed
+		}
 		return nil, err
 	}
 	defer memory.release()
@@ -54,6 +57,7 @@
 	if fault.Is(err, fault.UpstreamLost) || fault.Is(err, fault.Canceled) {
 		err = c.recordLoss(ctx, a, err)
 	}
+	a.ended.Outcome = c.attributeLoss(ctx, g.Upstream, a.ended.Outcome, err)
 	if err == nil || fault.Is(err, fault.Canceled) {
 		c.returnGrant(next)
 		next = nil
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -61,6 +61,8 @@
 	// ended holds the upstreams that were reported to have ended.
 	mu    sync.Mutex
 	ended []string
+	// outcomes holds the last outcome that was reported for each upstream.
+	outcomes map[string]place.Outcome
 	// placed counts the requests by the IDs under which they were placed.
 	placed map[string]int
 }
@@ -101,7 +103,17 @@
 func (p *orderedPlacer) ReportLimit(place.Grant, float64, bool) {}
 func (p *orderedPlacer) ReportNotice(place.Grant, place.Notice) {}
 
-func (p *orderedPlacer) ReportEnded(g place.Grant, _ place.EndedRequest, upstreamEnded bool) {
+func (p *orderedPlacer) recordOutcome(upstream string, o place.Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.outcomes == nil {
+		p.outcomes = map[string]place.Outcome{}
+	}
+	p.outcomes[upstream] = o
+}
+
+func (p *orderedPlacer) ReportEnded(g place.Grant, e place.EndedRequest, upstreamEnded bool) {
+	p.recordOutcome(g.Upstream.ID, e.Outcome)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if upstreamEnded {
@@ -117,7 +129,9 @@
 	return place.Verdict{Refusal: &place.Refusal{Reason: "no upstream left"}}, nil
 }
 
-func (p *orderedPlacer) ReleasePlain(place.Grant, place.Outcome, bool) {}
+func (p *orderedPlacer) ReleasePlain(g place.Grant, o place.Outcome, _ bool) {
+	p.recordOutcome(g.Upstream.ID, o)
+}
 
 // fakeReserver answers that all upstreams run, except the one with the ID dead.
 type fakeReserver struct{ dead atomic.Value }
@@ -149,6 +163,8 @@
 	// maxBody is the maximum size of a request's body in bytes, or 0 for the default.
 	maxBody int64
 	url     string
+	// cut is set if this host does not reach the upstreams.
+	cut atomic.Bool
 
 	mu  sync.Mutex
 	log bytes.Buffer
@@ -182,7 +198,7 @@
 		Codec: headerCodec{}, Placer: g.placer, Reserver: g.engines, Witnesses: g.engines, Group: g.group, Table: table,
 		ConfigAge: func() time.Duration { return 0 }, CopyVersion: func() (uint64, uint64) { return 0, 0 }, UpstreamID: func(string) string { return "" },
 		Budget: retry.New(1, 100, time.Minute, func() int { return 1 }),
-		Dial:   dialer.TCP, Answers: quota.UpstreamAnswers(1 << 30), Random: rand.New(rand.NewPCG(1, 1)), Log: log,
+		Dial:   dialer.TCP, Linked: func(context.Context, string) bool { return !g.cut.Load() }, Answers: quota.UpstreamAnswers(1 << 30), Random: rand.New(rand.NewPCG(1, 1)), Log: log,
 	})
 	s := httptest.NewServer(server)
 	g.url = s.URL
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -140,7 +140,7 @@
 	u, outcome := g.Upstream, place.EngineFailed
 	defer func(ctx context.Context) {
 		ended := outcome == place.EngineFailed && ctx.Err() == nil && c.upstreamEnded(ctx, u, err)
-		c.server.options.Placer.ReleasePlain(g, outcome, ended)
+		c.server.options.Placer.ReleasePlain(g, c.attributeLoss(ctx, u, outcome, err), ended)
 	}(ctx)
 	ctx, cancel := context.WithCancelCause(ctx)
 	var options ForwardOptions
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -202,6 +202,10 @@
 	UpstreamID func(address string) string
 	Budget     *retry.Budget
 	Dial       dialer.Func
+	// Linked reports whether a failure to reach the upstream at an address counts against
+	// the upstream, and not against the links of this host. It may wait for some hundred
+	// milliseconds. Nil means always.
+	Linked func(ctx context.Context, address string) bool
 	// Answers bounds what answers of upstreams hold apart from their requests.
 	Answers answer.Memory
 	Random  *rand.Rand
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -56,6 +56,23 @@
 	return nil, fault.Wrap(fault.UpstreamLost, err, "upstream %s did not answer", u.ID)
 }
 
+// attributeLoss returns the outcome of an attempt. It is LinkFailed instead of EngineFailed
+// if the upstream was not reached, was lost or kept silent, and this host's links failed.
+func (c *call) attributeLoss(ctx context.Context, u place.Upstream, o place.Outcome, err error) place.Outcome {
+	isLoss := fault.Is(err, fault.Unreachable) || fault.Is(err, fault.UpstreamLost)
+	if o == place.EngineFailed && isLoss && c.linksFailed(ctx, u) {
+		return place.LinkFailed
+	}
+	return o
+}
+
+// linksFailed reports whether the failure of an attempt counts against the links of this
+// host, because it does not reach the upstream or one of the helpers.
+func (c *call) linksFailed(ctx context.Context, u place.Upstream, helpers ...place.Helper) bool {
+	linked := c.server.options.Linked
+	return linked != nil && (!linked(ctx, u.Address) || slices.ContainsFunc(helpers, func(h place.Helper) bool { return !linked(ctx, h.Address) }))
+}
+
 // checkGrant returns an error of kind Unreachable if a grant may no longer be used: this
 // process was paused since, or an upstream left.
 func (c *call) checkGrant(g place.Grant) error {
