entry: the death of an engine takes a witness

Cause: a daemon that lost its links to an engine took three refused connections for the death of its process. The prompt became a suspect for all nodes, and so did its beginnings.

Change: the daemon asks other nodes as the gateway does, by the engines on the host list. An engine that answers, but no longer has the stream, has restarted, as before.

Result: TestCrashHasWitnesses passes; without the question its case "reached by others" fails.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -186,6 +186,7 @@
 		Configuration: documentSource{d.document},
 		Cells:         d.cells,
 		Engines:       entryEngines{d.cells.engines},
+		Witnesses:     d.buildWitnesses(),
 		Quarantine:    d.buildQuarantine(),
 		Content:       d.buildContent(),
 		Admission:     d.buildAdmission(),
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -140,7 +140,7 @@
 			BodyTimeout: time.Minute, WriteTimeout: time.Minute,
 		},
 		Configuration: fixedConfig{testDocument()}, Cells: &fixedCells{address: address},
-		Engines: clientEngines{engine.NewClient(transport, newAnswers())}, Quarantine: admitAll{f}, Content: nodeContent{crash.NewTracker()}, Admission: f,
+		Engines: clientEngines{engine.NewClient(transport, newAnswers())}, Witnesses: f, Quarantine: admitAll{f}, Content: nodeContent{crash.NewTracker()}, Admission: f,
 		Claims: noClaims{}, Directory: f, Drain: drain.New(log), Quota: newQuota(log, 4<<30), Dial: dialer.TCP, Answers: newAnswers(), Group: g, Log: log, Metrics: tally.NoopScope,
 	})
 	b.Cleanup(func() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -69,6 +69,13 @@
 	Close()
 }
 
+// Witnesses find out whether engines died.
+type Witnesses interface {
+	// Ended reports whether an engine that this node does not reach has died, as far as
+	// this node and others can tell.
+	Ended(ctx context.Context, engine, address string) bool
+}
+
 // Quarantine tracks the prompts that are suspected of crashing engines. Such a
 // prompt is called a suspect.
 type Quarantine interface {
@@ -176,6 +183,7 @@
 	Configuration Configuration
 	Cells         Cells
 	Engines       Engines
+	Witnesses     Witnesses
 	Quarantine    Quarantine
 	Content       Content
 	Admission     Admission
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -64,7 +64,7 @@
 			MaxBody: 1 << 20, MaxRequests: 1000,
 			BodyTimeout: time.Second, WriteTimeout: time.Second,
 		},
-		Configuration: fixedConfig{doc}, Cells: f, Engines: f, Quarantine: admitAll{f}, Content: nodeContent{crash.NewTracker()}, Admission: f,
+		Configuration: fixedConfig{doc}, Cells: f, Engines: f, Witnesses: f, Quarantine: admitAll{f}, Content: nodeContent{crash.NewTracker()}, Admission: f,
 		Claims: noClaims{}, Directory: f, Drain: drain.New(log), Quota: newQuota(log, 64<<20), Dial: dialer.TCP, Answers: newAnswers(), Group: g, Log: log, Metrics: tally.NoopScope,
 	})
 }
--- a/internal/entry/faulty_test.go
+++ b/internal/entry/faulty_test.go
@@ -93,6 +93,27 @@
 	}
 }
 
+// Guards against a prompt that is suspected because this node lost its links to an engine
+// that other nodes reach.
+func TestCrashHasWitnesses(t *testing.T) {
+	for name, reached := range map[string]bool{"reached by others": true, "reached by none": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := group.New(t.Context())
+				f := newFakeFleet(1, 1, 0)
+				f.reachedByOthers = reached
+				s := newServer(g, f, testDocument())
+				s.options.Engines = &faultyEngines{fakeFleet: f, resume: fault.New(fault.Unreachable, "connection refused")}
+				w := post(t.Context(), s, `{"model":"m","prompt":"p","max_tokens":3}`, nil)
+				requireError(t, w, fault.UpstreamLost, "")
+				require.Equal(t, reached, f.recordedCrashes == 0)
+				g.Stop()
+				require.NoError(t, g.Wait())
+			})
+		})
+	}
+}
+
 // Guards against the text of an engine's error in the middle of a caller's stream, and
 // against a stream that then looks complete.
 func TestErrorInStream(t *testing.T) {
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -49,6 +49,8 @@
 	// startsByPrompt counts the streams that were started for each prompt.
 	startsByPrompt  map[string]int
 	recordedCrashes int
+	// reachedByOthers is set if other nodes reach the engines that this one does not.
+	reachedByOthers bool
 	nextID          int
 }
 
@@ -292,6 +294,10 @@
 	return nil
 }
 
+// Ended implements Witnesses: no other node reaches more engines than this one, unless
+// reachedByOthers is set.
+func (f *fakeFleet) Ended(context.Context, string, string) bool { return !f.reachedByOthers }
+
 // nodeContent is the content that one node knows.
 type nodeContent struct{ *crash.Tracker }
 
--- a/internal/entry/transfer.go
+++ b/internal/entry/transfer.go
@@ -143,9 +143,10 @@
 		sleep(ctx, jitter(retryDelay))
 	}
 	// A closed connection followed by refused ones means that the engine process
-	// died. If the connection was silent, a network failure is more likely, and
-	// the prompt did not cause that.
-	t.crashed = unreachable == maxResumeAttempts && !errors.Is(cause, engine.ErrSilent) && !errors.Is(cause, engine.ErrForeignRefusal)
+	// died, if no other node reaches it either. If the connection was silent, a network
+	// failure is more likely, and the prompt did not cause that.
+	t.crashed = unreachable == maxResumeAttempts && !errors.Is(cause, engine.ErrSilent) && !errors.Is(cause, engine.ErrForeignRefusal) &&
+		c.server.options.Witnesses.Ended(context.WithoutCancel(ctx), t.grant.Engine, t.grant.Address)
 	return nil, fault.Wrap(fault.UpstreamLost, cause, "engine %s was lost", t.grant.Engine)
 }
 
