place: a process whose successor is registered is not checked

Cause: a host that learns late that it lost a connection, such as one that was frozen, checked the address of a process which had ended. The check reached its successor, also in a pause that the successor had asked this host for.

Change: if a process with a later start is registered under the id, the earlier one has ended, and no call is made. One that states no start counts as running, as it may be the same process.

--- a/internal/place/witness.go
+++ b/internal/place/witness.go
@@ -135,8 +135,30 @@
 	}
 }
 
-// inquire checks a process and, if it does not answer, asks peers.
+// successor returns the process that is registered in place of one that started before it.
+func (w *Witnesses) successor(u Upstream) (Upstream, bool) {
+	upstreams := w.options.Upstreams()
+	i := slices.IndexFunc(upstreams, func(other Upstream) bool { return other.ID == u.ID && other.Started.After(u.Started) })
+	if i < 0 {
+		return Upstream{}, false
+	}
+	return upstreams[i], true
+}
+
+// inquire checks a process and, if it does not answer, asks peers. A process whose successor
+// is registered is not checked: the check would reach the successor, which may want nothing
+// from this node.
 func (w *Witnesses) inquire(ctx context.Context, u Upstream) bool {
+	if next, ok := w.successor(u); ok {
+		// A process without a start time may be the same one, registered again.
+		event, ended := "end_believed", !u.Started.IsZero()
+		if !ended {
+			event = "end_doubted"
+		}
+		w.options.Log.WithFields(logrus.Fields{"event": event, "upstream": u.ID, "engine": u.Process(), "successor": next.Process()}).
+			Info("a process of an upstream has a registered successor")
+		return ended
+	}
 	checkErr := w.check(ctx, u)
 	if checkErr == nil {
 		return false
--- a/internal/place/witness_test.go
+++ b/internal/place/witness_test.go
@@ -125,6 +125,7 @@
 		"node is cut, its engine ended":        {&witnessFleet{nodes: 4, engines: 4, cut: []int{0}, ended: []int{0}}, true, 20 * time.Millisecond},
 		"most nodes are cut":                   {&witnessFleet{nodes: 4, engines: 4, cut: []int{0, 1, 2}}, false, 20 * time.Millisecond},
 		"all nodes are cut":                    {&witnessFleet{nodes: 4, engines: 4, cut: []int{0, 1, 2, 3}}, false, 20 * time.Millisecond},
+		"node knows the successor":             {&witnessFleet{nodes: 4, engines: 4, strangers: []int{0}}, true, 0},
 		"only node":                            {&witnessFleet{nodes: 1, engines: 4, ended: []int{0}}, true, 10 * time.Millisecond},
 		"only node is cut":                     {&witnessFleet{nodes: 1, engines: 4, cut: []int{0}}, false, 10 * time.Millisecond},
 		"only engine":                          {&witnessFleet{nodes: 1, engines: 1, ended: []int{0}}, true, 10 * time.Millisecond},
