place: a witness whose own links fail does not testify

Cause: checks of upstreams connect through peers now, so a host that is just being cut reaches others by which it takes itself for linked. Change: a check that fails on such a host counts against its links.

--- a/internal/gate/gateway.go
+++ b/internal/gate/gateway.go
@@ -144,7 +144,7 @@
 	g.places.Register(g.mux)
 	g.registerNewest(g.mux)
 	witnesses := place.NewWitnesses(place.WitnessesOptions{
-		Members: g.members, Caller: g.peerClient, Upstreams: g.state.Registrations, Check: g.adapter.Reserver.Alive, Notices: g.notices,
+		Members: g.members, Caller: g.peerClient, Upstreams: g.state.Registrations, Check: g.adapter.Reserver.Alive, Linked: g.links.reach.Linked, Notices: g.notices,
 		Group: g.group, Random: newRandom(), Log: g.log,
 	})
 	witnesses.Register(g.mux)
--- a/internal/place/witness.go
+++ b/internal/place/witness.go
@@ -70,7 +70,10 @@
 	Upstreams func() []Upstream
 	// Check returns an error if a process does not answer, of the kind Stale if another
 	// process answers at its address.
-	Check   func(ctx context.Context, u Upstream) error
+	Check func(ctx context.Context, u Upstream) error
+	// Linked reports whether a failure at an address counts against the upstream there, and
+	// not against the links of this node. Nil means always.
+	Linked  func(ctx context.Context, address string) bool
 	Notices *Notices
 	Group   *group.Group
 	Random  *rand.Rand
@@ -165,7 +168,7 @@
 	}
 	peers := w.peers()
 	answers := make(chan Reach, 1+len(peers))
-	start(w, answers, func(ctx context.Context) Reach { return reachOf(checkErr, w.isLinked(ctx, u)) })
+	start(w, answers, func(ctx context.Context) Reach { return w.reachOf(ctx, u, checkErr, w.isLinked(ctx, u)) })
 	for _, m := range peers {
 		start(w, answers, func(ctx context.Context) Reach { return w.ask(ctx, m, u) })
 	}
@@ -228,14 +231,18 @@
 	linked := make(chan bool, 1)
 	start(w, linked, func(ctx context.Context) bool { return w.isLinked(ctx, u) })
 	if err := w.check(ctx, u); err != nil {
-		return reachOf(err, <-linked)
+		return w.reachOf(ctx, u, err, <-linked)
 	}
 	return Reached
 }
 
 // reachOf returns what a failed check shows on a node that is linked to other upstreams, or
 // is not. The answer of another process shows both.
-func reachOf(err error, linked bool) Reach {
+func (w *Witnesses) reachOf(ctx context.Context, u Upstream, err error, linked bool) Reach {
+	if linked && w.options.Linked != nil {
+		// Other upstreams may have answered through peers.
+		linked = w.options.Linked(ctx, u.Address)
+	}
 	if linked || fault.Is(err, fault.Stale) {
 		return NotReached
 	}
