detour: a host takes note of what upstreams ask of it in tunnels

What callers would see: nothing; an upstream that asked for a pause, or said that it leaves, got something new from the host that forwards for a peer: it is the host that the upstream sees. Cause: what an answer asks was read by the host that had the request only, and queries of links did not read it at all. Change: the head of an answer in a tunnel is read for such wishes, at most 16 KiB of it; queries are; no tunnel is opened to an upstream that leaves or is in a pause for this host. TestObservedHead passes.

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -375,3 +377,35 @@
 		require.Zero(t, f.count(f.ended, "u1", 0))
 	})
 }
+
+// Guards against a host that misses what an upstream asks of it in an answer that it
+// forwards, and against an answer without an end of its head that is kept.
+func TestObservedHead(t *testing.T) {
+	const head = "HTTP/1.1 503 x\r\nRetry-After: 3\r\n\r\n"
+	cases := map[string]struct {
+		pieces []string
+		want   []string
+	}{
+		"whole":      {[]string{head + "body"}, []string{head + "body"}},
+		"in pieces":  {[]string{head[:20], head[20:]}, []string{head}},
+		"only once":  {[]string{head, head}, []string{head}},
+		"not ended":  {[]string{head[:20]}, nil},
+		"no end":     {slices.Repeat([]string{strings.Repeat("x", 1<<10)}, 100), nil},
+		"late ended": {append(slices.Repeat([]string{strings.Repeat("x", 1<<10)}, 17), head), nil},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			var got []string
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			tunnel := &tunnel{address: "u1:80", head: []byte{}, server: &Server{options: ServerOptions{
+				Observe: func(_ string, head []byte) { got = append(got, string(head)) }, Log: log,
+			}}}
+			for _, piece := range tc.pieces {
+				tunnel.observe([]byte(piece))
+				require.LessOrEqual(t, len(tunnel.head), maxHead)
+			}
+			require.Equal(t, tc.want, got)
+		})
+	}
+}
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -35,9 +35,12 @@
 type ServerOptions struct {
 	Dial  dialer.Func
 	Reach *Reach
-	// Allowed reports whether an upstream is registered at an address. There are no tunnels
-	// to other addresses.
+	// Allowed reports whether an upstream is registered at an address and takes new
+	// requests of this host. There are no tunnels to other addresses.
 	Allowed func(address string) bool
+	// Observe takes the head of what an upstream sends through a tunnel: to the upstream,
+	// this host has asked. It may be nil.
+	Observe func(address string, head []byte)
 	// Leaving reports whether this host is leaving. It then opens no more tunnels.
 	Leaving func() bool
 	// MaxTunnels is the number of tunnels that may be open.
@@ -99,7 +102,7 @@
 		return
 	}
 	s.opened.Inc(1)
-	(&tunnel{server: s, caller: caller, upstream: upstream}).run()
+	(&tunnel{server: s, caller: caller, upstream: upstream, address: req.Host}).run()
 }
 
 // check returns StatusOK, or the status with which a request is refused.
--- a/internal/detour/tunnel.go
+++ b/internal/detour/tunnel.go
@@ -1,6 +1,7 @@
 package detour
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -16,10 +17,18 @@
 	"github.com/verbenapier/verbenapier/pkg/group"
 )
 
+// maxHead bounds the head of an answer that is observed, in bytes.
+const maxHead = 16 << 10
+
 // tunnel copies bytes between a peer, the caller, and an upstream.
 type tunnel struct {
 	server           *Server
 	caller, upstream net.Conn
+	// address is that of the upstream.
+	address string
+	// head is what the upstream has sent of the head of its answer, or nil once that was
+	// observed or is too long.
+	head []byte
 
 	// writing is held during a write to the upstream. It guards the fields below.
 	writing sync.Mutex
@@ -34,6 +43,9 @@
 // run copies until the caller has closed its end, or the upstream its and the caller was
 // told.
 func (t *tunnel) run() {
+	if t.server.options.Observe != nil {
+		t.head = []byte{}
+	}
 	copying := group.New(context.Background())
 	copying.Go("tunnel to the upstream", guard.Task(t.server.options.Log, "tunnel", func(context.Context) error {
 		// The end of the caller ends the work of the upstream at once.
@@ -88,6 +100,7 @@
 	defer t.server.buffers.Put(buf)
 	for {
 		n, err := t.upstream.Read((*buf)[maxLengthBytes:])
+		t.observe((*buf)[maxLengthBytes : maxLengthBytes+n])
 		if n > 0 && !t.send(frame(*buf, n)) {
 			return false
 		}
@@ -100,6 +113,21 @@
 	}
 }
 
+// observe collects the head of the upstream's answer until it is complete.
+func (t *tunnel) observe(p []byte) {
+	if t.head == nil {
+		return
+	}
+	t.head = append(t.head, p...)
+	if bytes.Contains(t.head, []byte("\r\n\r\n")) {
+		guard.Run(t.server.options.Log, "tunnel", func() { t.server.options.Observe(t.address, t.head) })
+		t.head = nil
+	}
+	if len(t.head) > maxHead {
+		t.head = nil
+	}
+}
+
 // frame returns the frame of the n bytes after the first maxLengthBytes of buf.
 func frame(buf []byte, n int) []byte {
 	var length [binary.MaxVarintLen64]byte
--- a/internal/gate/adapter.go
+++ b/internal/gate/adapter.go
@@ -13,7 +13,6 @@
 
 	"github.com/verbenapier/verbenapier/internal/answer"
 	"github.com/verbenapier/verbenapier/internal/crash"
-	"github.com/verbenapier/verbenapier/internal/detour"
 	"github.com/verbenapier/verbenapier/internal/dialer"
 	"github.com/verbenapier/verbenapier/internal/feed"
 	"github.com/verbenapier/verbenapier/internal/place"
@@ -43,8 +42,12 @@
 	Reserver relay.Reserver
 	// Load asks an engine for its current load.
 	Load place.Inspector
-	// Query finds out whether upstreams answer at all.
-	Query detour.Query
+	// Query asks the upstream at an address anything, on a connection of dial. The error is
+	// nil if any bytes come back.
+	Query func(ctx context.Context, dial dialer.Func, address string) (place.Notice, error)
+	// DecodeNotice returns what the head of an answer of an upstream says of further
+	// requests; ok is false if it is no such head.
+	DecodeNotice func(head []byte) (n place.Notice, ok bool)
 	// Quarantines keeps quarantines on the platform.
 	Quarantines crash.Store
 	// DecodeQuarantine decodes a quarantine; ok is false if the key is not that of a
--- a/internal/gate/links.go
+++ b/internal/gate/links.go
@@ -8,6 +8,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/verbenapier/verbenapier/internal/detour"
+	"github.com/verbenapier/verbenapier/internal/dialer"
+	"github.com/verbenapier/verbenapier/internal/place"
 	"github.com/verbenapier/verbenapier/internal/quota"
 )
 
@@ -35,10 +37,10 @@
 	g.links = links{
 		reach: reach,
 		dialer: detour.NewDialer(detour.Options{
-			Dial: g.network.Dial, Reach: reach, Members: g.members, Query: g.adapter.Query, Group: g.group, Random: newRandom(), Log: g.log, Metrics: metrics,
+			Dial: g.network.Dial, Reach: reach, Members: g.members, Query: g.query, Group: g.group, Random: newRandom(), Log: g.log, Metrics: metrics,
 		}),
 		tunnels: detour.NewServer(detour.ServerOptions{
-			Dial: g.network.Dial, Reach: reach, Allowed: g.state.HasUpstreamAt, Leaving: g.leaving.Load,
+			Dial: g.network.Dial, Reach: reach, Allowed: g.state.TakesAt, Observe: g.observeHead, Leaving: g.leaving.Load,
 			MaxTunnels: maxTunnels(quota.Files(g.settings.MaxOpenFiles)), Metrics: metrics, Log: g.log,
 		}),
 	}
@@ -72,14 +74,43 @@
 	return slices.Compact(all)
 }
 
-// HasUpstreamAt reports whether an upstream is registered at an address.
-func (s *state) HasUpstreamAt(address string) bool {
+// query asks the upstream at an address anything, on a connection of dial.
+func (g *Gateway) query(ctx context.Context, dial dialer.Func, address string) error {
+	notice, err := g.adapter.Query(ctx, dial, address)
+	g.state.observe(address, notice)
+	return err
+}
+
+// observeHead takes note of what an answer that this host forwards to a peer says of further
+// requests.
+func (g *Gateway) observeHead(address string, head []byte) {
+	if notice, ok := g.adapter.DecodeNotice(head); ok {
+		g.state.observe(address, notice)
+	}
+}
+
+// observe records a notice of the upstream at an address.
+func (s *state) observe(address string, notice place.Notice) {
+	if u, ok := s.at(address); ok {
+		s.notices.Observe(u.Process(), notice)
+	}
+}
+
+// TakesAt reports whether an upstream is registered at an address, has not said that it
+// leaves, and has not asked this host for a pause.
+func (s *state) TakesAt(address string) bool {
+	u, ok := s.at(address)
+	return ok && !s.notices.Leaving(u.Process()) && s.notices.PauseLeft(u.Process()) == 0
+}
+
+// at returns the upstream that is registered at an address.
+func (s *state) at(address string) (place.Upstream, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.upstreams {
 		if r.Address == address && !r.invalid {
-			return true
+			return r.Upstream, true
 		}
 	}
-	return false
+	return place.Upstream{}, false
 }
