--- a/internal/gate/state.go
+++ b/internal/gate/state.go
@@ -115,8 +115,9 @@
 	invalid bool
 }
 
-// settled reports whether the registration stays as it is until its key changes.
-func (r *registration) settled() bool { return r.lapsedAt.IsZero() && r.doubtedAt.IsZero() }
+// pending reports whether the registration may change with time, without a change of its
+// key.
+func (r *registration) pending() bool { return !r.lapsedAt.IsZero() || !r.doubtedAt.IsZero() }
 
 func newState(name string, f *feed.Feed, a Adapter, crashes *crash.Registry, notices *place.Notices, members func() []member.Member, g *group.Group, log logrus.FieldLogger) *state {
 	return &state{
@@ -133,7 +134,7 @@
 	var seen <-chan struct{}
 	for {
 		changed := s.feed.Changed()
-		if changed != seen || s.isUnsettled() {
+		if changed != seen || s.hasPending() {
 			seen = changed
 			s.refresh(time.Now())
 		}
@@ -146,12 +147,12 @@
 	}
 }
 
-// isUnsettled reports whether a registration may change without a change of its key.
-func (s *state) isUnsettled() bool {
+// hasPending reports whether a registration is pending.
+func (s *state) hasPending() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.upstreams {
-		if !r.settled() {
+		if r.pending() {
 			return true
 		}
 	}
@@ -225,7 +226,7 @@
 // the upstreams have to be regrouped. The caller holds mu.
 func (s *state) applyRegistration(key string, entry feed.Entry, now time.Time) bool {
 	known := s.upstreams[key]
-	if known != nil && known.version == entry.Version && known.settled() {
+	if known != nil && known.version == entry.Version && !known.pending() {
 		return false
 	}
 	u, ok, err := s.adapter.DecodeUpstream(key, entry.Value)
@@ -241,7 +242,7 @@
 	}
 	r := &registration{Upstream: u, version: entry.Version, invalid: err != nil}
 	s.upstreams[key] = r
-	s.settle(r, known, now)
+	s.applyDeparture(r, known, now)
 	if err == nil && (known == nil || known.Upstream != r.Upstream || !known.lapsedAt.IsZero()) {
 		s.log.WithFields(logrus.Fields{
 			"event": "upstream", "upstream": u.ID, "service": u.Service, "address": u.Address, "leaving": r.Leaving,
@@ -252,10 +253,10 @@
 	return known == nil || known.invalid != (err != nil)
 }
 
-// settle records whether the upstream of a new registration leaves. If it left in an
+// applyDeparture records whether the upstream of a new registration leaves. If it left in an
 // earlier era, and no successor of its process is registered, it counts as leaving while
 // the registration is doubted. The caller holds mu.
-func (s *state) settle(r, known *registration, now time.Time) {
+func (s *state) applyDeparture(r, known *registration, now time.Time) {
 	d, departed := s.gone[r.ID]
 	if r.Leaving || !departed || d.lapsed || r.Started.After(d.started) || d.era >= r.version.Era {
 		delete(s.gone, r.ID)
